--- /dev/null
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -0,0 +1,193 @@
+"""Sends requests to endpoints over HTTP/1.1, a fresh connection for each.
+
+A connection that is never used twice has no answers left over from earlier
+requests and never closes under a request that was just sent.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import logging
+import socket
+from typing import Final, Protocol
+
+import h11
+
+from ..ports import exchange
+
+LOG: Final = logging.getLogger(__name__)
+# Time for a connection to be established, in seconds.
+CONNECT_S: Final = 0.25
+# Time after which bytes that the other side has not acknowledged, or probes
+# that it has not answered, break the connection.
+UNACKNOWLEDGED_MS: Final = 1500
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_PROBES: Final = 2
+# Bytes read at once.
+READ_BYTES: Final = 32 * 1024
+# Bytes of an answer's head beyond which it is none.
+MAX_HEAD_BYTES: Final = 64 * 1024
+
+
+class Codec(Protocol):
+    """Translates between typed messages and an endpoint's headers."""
+
+    def encode(
+        self, request: exchange.Request, sending: exchange.Sending
+    ) -> list[tuple[str, str]]:
+        """Returns the headers of a request."""
+        ...
+
+    def decode(
+        self,
+        request: exchange.Request,
+        status: int,
+        headers: list[tuple[str, str]],
+    ) -> exchange.Head | exchange.SendError:
+        """Returns an answer's head, or why it is no answer to the request."""
+        ...
+
+
+def watch_silence(sock: socket.socket) -> None:
+    """Makes a connection break when the other side has fallen silent."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+class HttpAnswer:
+    """An answer that is being read."""
+
+    def __init__(
+        self,
+        head: exchange.Head,
+        parser: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.head = head
+        self._parser = parser
+        self._reader = reader
+        self._writer = writer
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yields the body; raises ExchangeBrokenError if it breaks off."""
+        while True:
+            event = await _next_event(self._parser, self._reader)
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise exchange.ExchangeBrokenError('the body ended early')
+            yield bytes(event.data)
+
+    def close(self) -> None:
+        """Closes the connection, which ends the request there."""
+        self._writer.transport.abort()
+
+
+async def _next_event(
+    parser: h11.Connection, reader: asyncio.StreamReader
+) -> object:
+    try:
+        while True:
+            event = parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            parser.receive_data(await reader.read(READ_BYTES))
+    except (h11.RemoteProtocolError, OSError) as exc:
+        raise exchange.ExchangeBrokenError(
+            str(exc) or type(exc).__name__
+        ) from exc
+
+
+class HttpExchange:
+    """Endpoints, reached by their addresses."""
+
+    def __init__(self, codec: Codec) -> None:
+        self._codec = codec
+
+    async def send(
+        self, request: exchange.Request, sending: exchange.Sending
+    ) -> HttpAnswer | exchange.SendError:
+        """Sends a request once and returns the beginning of the answer."""
+        endpoint = sending.endpoint
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                reader, writer = await asyncio.open_connection(
+                    endpoint.host, endpoint.port
+                )
+        except (OSError, TimeoutError) as exc:
+            return exchange.SendError(
+                exchange.Failure.NOT_SENT, str(exc) or 'no connection in time'
+            )
+        try:
+            answer = await self._exchange(request, sending, reader, writer)
+        except BaseException:
+            writer.transport.abort()
+            raise
+        if isinstance(answer, exchange.SendError):
+            writer.transport.abort()
+        return answer
+
+    async def _exchange(
+        self,
+        request: exchange.Request,
+        sending: exchange.Sending,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> HttpAnswer | exchange.SendError:
+        watch_silence(writer.get_extra_info('socket'))
+        parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        try:
+            sent = self._request_bytes(parser, request, sending)
+        except h11.LocalProtocolError as exc:
+            return exchange.SendError(exchange.Failure.NOT_SENT, str(exc))
+        writer.write(sent)
+        try:
+            event = await _next_event(parser, reader)
+            while isinstance(event, h11.InformationalResponse):
+                event = await _next_event(parser, reader)
+        except exchange.ExchangeBrokenError as exc:
+            return exchange.SendError(exchange.Failure.BROKEN, str(exc))
+        if not isinstance(event, h11.Response):
+            return exchange.SendError(
+                exchange.Failure.BROKEN, 'closed without an answer'
+            )
+        headers = [
+            (name.decode('latin-1'), value.decode('latin-1'))
+            for name, value in event.headers.raw_items()
+        ]
+        head = self._codec.decode(request, event.status_code, headers)
+        if isinstance(head, exchange.SendError):
+            return head
+        return HttpAnswer(head, parser, reader, writer)
+
+    def _request_bytes(
+        self,
+        parser: h11.Connection,
+        request: exchange.Request,
+        sending: exchange.Sending,
+    ) -> bytes:
+        headers = self._codec.encode(request, sending)
+        if request.body or request.method not in ('GET', 'HEAD'):
+            headers.append(('Content-Length', str(len(request.body))))
+        sent = parser.send(
+            h11.Request(
+                method=request.method.encode('latin-1'),
+                target=request.target.encode('latin-1'),
+                headers=[
+                    (name.encode('latin-1'), value.encode('latin-1'))
+                    for name, value in headers
+                ],
+            )
+        )
+        parts = [sent or b'']
+        if request.body:
+            parts.append(parser.send(h11.Data(data=request.body)) or b'')
+        parts.append(parser.send(h11.EndOfMessage()) or b'')
+        return b''.join(parts)
--- /dev/null
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -0,0 +1,176 @@
+"""What every endpoint is doing, as far as this VM can tell.
+
+Exact for the requests that this VM has sent; peers add sums for theirs.
+"""
+
+from collections.abc import Callable, Iterable
+import dataclasses
+import time
+from typing import Final
+
+from .. import ids
+
+# Time after which what a peer has told is no longer counted, in seconds.
+PEER_AGE_S: Final = 2.0
+# Time after which what an endpoint said in an answer is forgotten, seconds.
+HINT_AGE_S: Final = 0.4
+
+
+@dataclasses.dataclass
+class Job:
+    """One request, or one part of a prompt, at one endpoint."""
+
+    # Time that reading its prompt takes there, in seconds.
+    read_s: float
+    # Memory that it will hold there at most, in tokens.
+    memory_tokens: int
+    # Longest pause between two events that its caller accepts, in seconds.
+    max_gap_s: float
+    # What its caller loses if it is late.
+    value: float
+    started_at_s: float
+    is_reading: bool = True
+    # A part that is read for a request at another endpoint.
+    is_help: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Writers:
+    """Requests that are being written, by the pause that they bear."""
+
+    max_gap_s: float
+    count: int
+    # Sum of what their callers lose if they are late.
+    value: float
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointLoad:
+    """Sums over the requests at one endpoint."""
+
+    # Requests there, without parts that are read for others.
+    running: int = 0
+    # Time until everything that waits to be read has been, in seconds.
+    read_s: float = 0.0
+    memory_tokens: int = 0
+    writers: tuple[Writers, ...] = ()
+    # Parts that are read for requests at other endpoints.
+    helping: int = 0
+
+    @property
+    def writing(self) -> int:
+        """Requests that are being written."""
+        return sum(group.count for group in self.writers)
+
+
+class Workload:
+    """All requests that are known to be at endpoints."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._jobs_by_endpoint: dict[ids.EndpointId, list[Job]] = {}
+        self._loads_by_peer: dict[
+            ids.VmId, tuple[float, dict[ids.EndpointId, EndpointLoad]]
+        ] = {}
+        self._hints: dict[ids.EndpointId, tuple[float, int]] = {}
+
+    def now_s(self) -> float:
+        """Returns the time on the clock that jobs are held to."""
+        return self._clock()
+
+    def add(self, endpoint_id: ids.EndpointId, job: Job) -> None:
+        """Notes that a job was sent."""
+        self._jobs_by_endpoint.setdefault(endpoint_id, []).append(job)
+
+    def remove(self, endpoint_id: ids.EndpointId, job: Job) -> None:
+        """Notes that a job has ended."""
+        jobs = self._jobs_by_endpoint.get(endpoint_id, [])
+        jobs[:] = [other for other in jobs if other is not job]
+        if not jobs:
+            self._jobs_by_endpoint.pop(endpoint_id, None)
+
+    def hint(self, endpoint_id: ids.EndpointId, running: int) -> None:
+        """Notes what an endpoint said of its own load."""
+        self._hints[endpoint_id] = (self._clock(), running)
+
+    def hear(
+        self, peer: ids.VmId, loads: dict[ids.EndpointId, EndpointLoad]
+    ) -> None:
+        """Takes a peer's sums over, in place of its last ones."""
+        self._loads_by_peer[peer] = (self._clock(), loads)
+
+    def own_loads(self) -> dict[ids.EndpointId, EndpointLoad]:
+        """Returns the sums over this VM's own jobs."""
+        now_s = self._clock()
+        return {
+            endpoint_id: _sum_of(jobs, now_s)
+            for endpoint_id, jobs in self._jobs_by_endpoint.items()
+        }
+
+    def loads(self) -> dict[ids.EndpointId, EndpointLoad]:
+        """Returns the sums over everybody's jobs."""
+        now_s = self._clock()
+        merged = self.own_loads()
+        for heard_at_s, loads in self._loads_by_peer.values():
+            age_s = now_s - heard_at_s
+            if age_s > PEER_AGE_S:
+                continue
+            for endpoint_id, load in loads.items():
+                merged[endpoint_id] = merge(
+                    merged.get(endpoint_id, EndpointLoad()),
+                    dataclasses.replace(
+                        load, read_s=max(0.0, load.read_s - age_s)
+                    ),
+                )
+        for endpoint_id, (at_s, running) in self._hints.items():
+            load = merged.get(endpoint_id, EndpointLoad())
+            if now_s - at_s < HINT_AGE_S and running > load.running:
+                merged[endpoint_id] = dataclasses.replace(
+                    load, running=running
+                )
+        return merged
+
+
+def merge(one: EndpointLoad, two: EndpointLoad) -> EndpointLoad:
+    """Adds two sums up."""
+    return EndpointLoad(
+        one.running + two.running,
+        one.read_s + two.read_s,
+        one.memory_tokens + two.memory_tokens,
+        group_writers([*one.writers, *two.writers]),
+        one.helping + two.helping,
+    )
+
+
+def group_writers(groups: Iterable[Writers]) -> tuple[Writers, ...]:
+    """Adds up the groups that bear the same pause."""
+    counts: dict[float, int] = {}
+    values: dict[float, float] = {}
+    for group in groups:
+        gap_s = group.max_gap_s
+        counts[gap_s] = counts.get(gap_s, 0) + group.count
+        values[gap_s] = values.get(gap_s, 0.0) + group.value
+    return tuple(
+        Writers(gap_s, counts[gap_s], values[gap_s])
+        for gap_s in sorted(counts)
+    )
+
+
+def _sum_of(jobs: list[Job], now_s: float) -> EndpointLoad:
+    reading = [job for job in jobs if job.is_reading]
+    read_s = sum(job.read_s for job in reading)
+    if reading:
+        # The oldest is read first.
+        elapsed_s = now_s - min(job.started_at_s for job in reading)
+        read_s = max(0.0, read_s - elapsed_s)
+    return EndpointLoad(
+        sum(not job.is_help for job in jobs),
+        read_s,
+        sum(job.memory_tokens for job in jobs),
+        group_writers(
+            Writers(job.max_gap_s, 1, job.value)
+            for job in jobs
+            if not job.is_reading
+        ),
+        sum(job.is_help for job in jobs),
+    )
