Relay streams to their end

Cause: the loop over an answer's pieces compared with True, so that every stream ended at its first piece. Ruled out: engines breaking off; the first attempt's log shows 200 after 18 ms.

--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -400,9 +400,10 @@
         cutter = event_cutter.EventCutter()
         body = answer.body()
         has_begun = False
-        while (data := await self._next_data(body, placement, has_begun)) is (
-            not None
-        ):
+        while True:
+            data = await self._next_data(body, placement, has_begun)
+            if data is None:
+                break
             try:
                 events = cutter.feed(data)
             except event_cutter.EventTooLongError:
