Hold prompts over one engine at several

Change: parts of the prompt are held by short, renewed leases at up to 16 engines and released when the request ends; what an unanswered order may still take is released until it can no longer come.

--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -8,7 +8,7 @@
 from collections.abc import AsyncIterator
 import logging
 import socket
-from typing import Final, Protocol
+from typing import Any, Final, Protocol
 
 import h11
 
@@ -58,6 +58,14 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
 
+def open_socket(info: Any) -> socket.socket:
+    """Opens a socket that breaks when the other side has fallen silent."""
+    family, kind, protocol, _, _ = info
+    sock = socket.socket(family, kind, protocol)
+    watch_silence(sock)
+    return sock
+
+
 class HttpAnswer:
     """An answer that is being read."""
 
--- a/packages/galenaquay/galenaquay/engines/workload.py
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -170,7 +170,7 @@
         group_writers(
             Writers(job.max_gap_s, 1, job.value)
             for job in jobs
-            if not job.is_reading
+            if not job.is_reading and not job.is_help
         ),
         sum(job.is_help for job in jobs),
     )
--- /dev/null
+++ b/packages/galenaquay/galenaquay/limits/group_memory.py
@@ -0,0 +1,128 @@
+"""Holds memory at several engines for one prompt, and gives all of it back.
+
+Leases are short and renewed, so that memory comes back by itself when this
+process dies. An order that was not answered may be carried out much later, so
+what it names is released again and again until that can no longer happen.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+import contextlib
+import dataclasses
+import logging
+import secrets
+from typing import Final
+
+from .. import tasks
+from ..engines import directory
+from ..ports import reservations
+
+LOG: Final = logging.getLogger(__name__)
+# Time for which memory stays set aside without being renewed, in seconds.
+LEASE_S: Final = 3.0
+# Time between two renewals, in seconds.
+RENEW_INTERVAL_S: Final = 0.9
+# Time after which an unanswered order can no longer be carried out, seconds.
+LATE_ORDER_S: Final = 13.0
+# Time between two releases of what an unanswered order may take, in seconds.
+SWEEP_INTERVAL_S: Final = 0.8
+# Random bytes in the name of a reservation.
+ID_BYTES: Final = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class Part:
+    """Memory that one engine is to hold."""
+
+    endpoint: directory.Endpoint
+    tokens: int
+
+
+@dataclasses.dataclass
+class Held:
+    """Memory that one engine holds, or may hold."""
+
+    part: Part
+    id: reservations.ReservationId
+    outcome: reservations.Outcome = reservations.Outcome.UNANSWERED
+    # Whether any order was not answered.
+    is_uncertain: bool = False
+
+
+class GroupMemory:
+    """Takes and gives back memory at engines."""
+
+    def __init__(self, engines: reservations.Reservations) -> None:
+        self._engines = engines
+        self._sweeps: set[asyncio.Task[None]] = set()
+
+    @contextlib.asynccontextmanager
+    async def held(self, parts: Sequence[Part]) -> AsyncIterator[list[Held]]:
+        """Holds all parts; `outcome` of each says whether it was had."""
+        held = [
+            Held(
+                part,
+                reservations.ReservationId(secrets.token_hex(ID_BYTES)),
+            )
+            for part in parts
+        ]
+        renewing: asyncio.Task[None] | None = None
+        try:
+            await asyncio.gather(*map(self._reserve, held))
+            if all(h.outcome is reservations.Outcome.DONE for h in held):
+                renewing = tasks.start(self._renew(held), 'renew memory')
+            yield held
+        finally:
+            if renewing is not None:
+                renewing.cancel()
+            # Goes on also when the request's own task has been cancelled.
+            for one in held:
+                sweep = tasks.start(self._give_back(one), 'release memory')
+                self._sweeps.add(sweep)
+                sweep.add_done_callback(self._sweeps.discard)
+
+    @property
+    def releasing(self) -> int:
+        """Reservations that are being given back."""
+        return len(self._sweeps)
+
+    async def _reserve(self, one: Held) -> None:
+        one.is_uncertain = True
+        one.outcome = await self._engines.reserve(
+            one.part.endpoint, one.id, one.part.tokens, LEASE_S
+        )
+        one.is_uncertain = one.outcome is reservations.Outcome.UNANSWERED
+
+    async def _renew(self, held: list[Held]) -> None:
+        while True:
+            await asyncio.sleep(RENEW_INTERVAL_S)
+            await asyncio.gather(*map(self._renew_one, held))
+
+    async def _renew_one(self, one: Held) -> None:
+        was_uncertain = one.is_uncertain
+        one.is_uncertain = True
+        outcome = await self._engines.reserve(
+            one.part.endpoint, one.id, one.part.tokens, LEASE_S
+        )
+        if outcome is not reservations.Outcome.UNANSWERED:
+            one.is_uncertain = was_uncertain
+
+    async def _give_back(self, one: Held) -> None:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + LATE_ORDER_S
+        while True:
+            outcome = await self._engines.release(one.part.endpoint, one.id)
+            is_answered = outcome is not reservations.Outcome.UNANSWERED
+            if is_answered and not one.is_uncertain:
+                return
+            if loop.time() > until_s:
+                LOG.info(
+                    'memory no longer released',
+                    extra={
+                        'endpoint': one.part.endpoint.id,
+                        'reservation': one.id,
+                        'last': outcome.value,
+                    },
+                )
+                return
+            await asyncio.sleep(SWEEP_INTERVAL_S)
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -18,7 +18,9 @@
 from ..engines import reliability as reliability_module
 from ..engines import workload as workload_module
 from ..limits import attempt_budget
+from ..limits import group_memory
 from ..ports import exchange
+from ..ports import reservations
 from ..routing import placement as placement_module
 from ..streams import event_cutter
 
@@ -60,6 +62,7 @@
     reliability: reliability_module.Reliability
     budget: attempt_budget.AttemptBudget
     exchange: exchange.Exchange
+    group_memory: group_memory.GroupMemory
     metrics: telemetry.TextMetrics
     rng: random.Random
 
@@ -264,9 +267,12 @@
         jobs = []
         for endpoint in (placement.endpoint, *placement.helpers):
             is_help = endpoint is not placement.endpoint
+            tokens = placement.part_tokens
+            if not is_help and not tokens:
+                tokens = request.prompt_tokens + request.answer_tokens
             job = workload_module.Job(
                 placement.read_s,
-                0 if is_help else request.prompt_tokens + request.answer_tokens,
+                tokens,
                 self._route.max_gap_s,
                 value,
                 now_s,
@@ -284,8 +290,37 @@
         self._attempts += 1
         self._parts.placer.note_sent(self._admitted.service, placement)
         self._log_placement(placement)
+        if not placement.part_tokens:
+            helpers = tuple(map(exchange.Helper, placement.helpers))
+            await self._exchange(placement, jobs, helpers)
+            return
+        parts = [
+            group_memory.Part(helper, placement.part_tokens)
+            for helper in placement.helpers
+        ]
+        async with self._parts.group_memory.held(parts) as held:
+            for one in held:
+                if one.outcome is not reservations.Outcome.DONE:
+                    raise _Retry(
+                        exchange.SendError(
+                            exchange.Failure.NOT_SENT,
+                            f'memory {one.outcome.value}',
+                            one.part.endpoint.id,
+                        )
+                    )
+            helpers = tuple(
+                exchange.Helper(one.part.endpoint, one.id) for one in held
+            )
+            await self._exchange(placement, jobs, helpers)
+
+    async def _exchange(
+        self,
+        placement: placement_module.Placement,
+        jobs: list[tuple[ids.EndpointId, workload_module.Job]],
+        helpers: tuple[exchange.Helper, ...],
+    ) -> None:
         sent_s = self._loop.time()
-        answer = await self._begin(placement)
+        answer = await self._begin(placement, helpers)
         try:
             head = answer.head
             if head.load is not None:
@@ -304,13 +339,15 @@
             answer.close()
 
     async def _begin(
-        self, placement: placement_module.Placement
+        self,
+        placement: placement_module.Placement,
+        helpers: tuple[exchange.Helper, ...],
     ) -> exchange.Answer:
         sending = exchange.Sending(
             placement.endpoint,
             self._admitted.account,
             self._time_left_s(),
-            placement.helpers,
+            helpers,
             self._last_event_id,
         )
         patience_s = self._first_patience_s(placement)
@@ -455,7 +492,7 @@
         )
         for endpoint_id, job in jobs:
             job.is_reading = False
-            if job.is_help:
+            if job.is_help and not job.memory_tokens:
                 self._parts.workload.remove(endpoint_id, job)
 
     async def _pass_event(
@@ -480,10 +517,12 @@
         error: exchange.SendError,
     ) -> None:
         endpoint = placement.endpoint
-        self._excluded.add(endpoint.id)
+        is_unsent = error.failure is exchange.Failure.NOT_SENT
+        if not (is_unsent and error.culprit):
+            self._excluded.add(endpoint.id)
         if not error.failure.is_not_run:
             self._may_have_run = True
-        if error.failure is exchange.Failure.NOT_SENT:
+        if is_unsent:
             self._attempts -= 1
             self._unsent += 1
         at_fault = endpoint
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -7,6 +7,7 @@
 
 from .. import ids
 from ..engines import directory
+from . import reservations
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -41,6 +42,15 @@
         return self.target.partition('?')[0]
 
 
+@dataclasses.dataclass(frozen=True)
+class Helper:
+    """An engine that reads a part of the prompt."""
+
+    endpoint: directory.Endpoint
+    # Memory there that holds the part; None if the first engine holds it.
+    reservation_id: reservations.ReservationId | None = None
+
+
 @dataclasses.dataclass(frozen=True)
 class Sending:
     """What one attempt adds to a request."""
@@ -49,8 +59,7 @@
     account: ids.AccountId | None
     # Time that the caller will still wait, in seconds.
     time_left_s: float
-    # Endpoints that read parts of the prompt.
-    helpers: tuple[directory.Endpoint, ...] = ()
+    helpers: tuple[Helper, ...] = ()
     # Overrides what the caller sent when a stream is resumed.
     last_event_id: str | None = None
 
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -21,6 +21,8 @@
 
 # Engines that may read one prompt together.
 GROUP_SIZES: Final = (1, 2, 3, 4, 5, 6, 8, 10, 12, 16)
+# Share of an engine's memory that one part of a prompt may take.
+MAX_PART_SHARE: Final = 0.8
 # A prompt that is read faster than this is not divided, in seconds.
 MIN_DIVIDED_READ_S: Final = 0.06
 # Prompt tokens that are worth as much to a caller as having an answer at all.
@@ -56,6 +58,9 @@
     # Time to the first event, in seconds.
     first_event_s: float = 0.0
     loss: float = 0.0
+    # Memory that each of the engines has to hold, in tokens; 0 if the first
+    # holds everything.
+    part_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,7 +73,8 @@
     wait_s: float
     # What choosing it costs however much it reads.
     base_loss: float
-    may_hold: bool
+    # Memory that nothing is known to hold, in tokens.
+    free_tokens: int
 
 
 def value_of(prompt_tokens: int) -> float:
@@ -163,9 +169,7 @@
         excluded: frozenset[ids.EndpointId],
     ) -> Placement | None:
         """Returns the engines on which callers lose least together."""
-        candidates = self._candidates(request, service, times, excluded)
-        if not any(candidate.may_hold for candidate in candidates):
-            return None
+        candidates = self._candidates(service, times, excluded)
         alone_s = reading.read_s(times, request.prompt_tokens)
         sizes = GROUP_SIZES if alone_s > MIN_DIVIDED_READ_S else (1,)
         best: Placement | None = None
@@ -173,21 +177,21 @@
             if size > len(candidates):
                 break
             placement = self._place_on(
-                size, candidates, alone_s / size, request, route
+                size, candidates, alone_s / size, request, route, times
             )
-            if best is None or placement.loss < best.loss:
+            if placement is not None and (
+                best is None or placement.loss < best.loss
+            ):
                 best = placement
         return best
 
     def _candidates(
         self,
-        request: exchange.Request,
         service: routes.Service,
         times: routes.EngineTimes,
         excluded: frozenset[ids.EndpointId],
     ) -> list[_Candidate]:
         loads = self._workload.loads()
-        needed = request.prompt_tokens + request.answer_tokens
         found = []
         for endpoint in self._usable(service, excluded):
             load = loads.get(endpoint.id, workload_module.EndpointLoad())
@@ -206,7 +210,7 @@
                     one_pass_s,
                     wait_s,
                     self._base_loss(endpoint),
-                    load.memory_tokens + needed <= times.memory_tokens,
+                    times.memory_tokens - load.memory_tokens,
                 )
             )
         return found
@@ -218,8 +222,20 @@
         read_s: float,
         request: exchange.Request,
         route: routes.Route,
-    ) -> Placement:
+        times: routes.EngineTimes,
+    ) -> Placement | None:
         value = value_of(request.prompt_tokens)
+        needed = request.prompt_tokens + request.answer_tokens
+        part_tokens = 0
+        if needed > times.memory_tokens:
+            part_tokens = needed // size + 1
+            if part_tokens > times.memory_tokens * MAX_PART_SHARE:
+                return None
+            candidates = [
+                c for c in candidates if c.free_tokens >= part_tokens
+            ]
+            if len(candidates) < size:
+                return None
 
         def loss_at(candidate: _Candidate) -> float:
             own_read_s = read_s * candidate.pace
@@ -236,7 +252,17 @@
             )
 
         ranked = sorted((loss_at(c), i) for i, c in enumerate(candidates))
-        first = next(i for _, i in ranked if candidates[i].may_hold)
+        holds_tokens = part_tokens or needed
+        first = next(
+            (
+                i
+                for _, i in ranked
+                if candidates[i].free_tokens >= holds_tokens
+            ),
+            None,
+        )
+        if first is None:
+            return None
         others = [i for _, i in ranked if i != first][: size - 1]
         chosen = [candidates[i] for i in (first, *others)]
         ready_s = max(c.wait_s + read_s * c.pace for c in chosen)
@@ -256,6 +282,7 @@
             read_s,
             first_event_s,
             loss,
+            part_tokens,
         )
 
     def note_sent(
