Tell other VMs what was placed where

Cause: every entry chose by its own requests alone, so several put long prompts on engines where others' answers were being written: shorts late on the archive phases, no overload anywhere.

Change: entries find each other from the seeds and report sums for each endpoint over gRPC whenever something changes, the more seldom the more of them there are. Ruled out: polling the engines' reports, which lag by 200 ms and are priced as probes.

--- /dev/null
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -0,0 +1,224 @@
+"""Tells other VMs over gRPC what this one has placed where, and hears them.
+
+There is one task for each address; it speaks when something has changed and
+else now and then. The more VMs there are, the more seldom each speaks, so that
+what one VM sends does not grow with the fleet.
+"""
+
+import asyncio
+import logging
+from typing import Any, Final
+
+from galenaquay_api import fleet_grpc
+from galenaquay_api import fleet_pb2
+import grpclib.client
+import grpclib.exceptions
+import grpclib.server
+
+from .. import ids
+from .. import tasks
+from ..engines import workload as workload_module
+from ..limits import cold_starts as cold_starts_module
+from ..membership import fleet as fleet_module
+
+LOG: Final = logging.getLogger(__name__)
+# Time for an answer, in seconds.
+ANSWER_S: Final = 0.5
+# Time between two reports to one member when nothing changes, in seconds.
+IDLE_INTERVAL_S: Final = 1.0
+# Time between two reports to one member, at least, in seconds.
+MIN_INTERVAL_S: Final = 0.06
+# Reports that one VM sends in a second, to all members together.
+REPORTS_PER_S: Final = 90.0
+# Time before speaking again to an address that has not answered, in seconds.
+RETRY_INTERVAL_S: Final = 0.5
+# Time between two looks at which addresses there are, in seconds.
+ADDRESSES_INTERVAL_S: Final = 0.3
+_MS: Final = 1000
+
+
+class FleetReports:
+    """Sends this VM's load to all members and takes theirs in."""
+
+    def __init__(
+        self,
+        fleet: fleet_module.Fleet,
+        workload: workload_module.Workload,
+        cold_starts: cold_starts_module.ColdStarts,
+    ) -> None:
+        self.is_leaving = False
+        self._fleet = fleet
+        self._workload = workload
+        self._cold_starts = cold_starts
+        self._number = 0
+        self._last_numbers: dict[tuple[ids.VmId, int], int] = {}
+        self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Keeps one task for each address that may answer."""
+        try:
+            while True:
+                self._keep_tasks()
+                self._cold_starts.vms = self._fleet.vms()
+                await asyncio.sleep(ADDRESSES_INTERVAL_S)
+        finally:
+            for task in self._tasks_by_address.values():
+                task.cancel()
+
+    def _keep_tasks(self) -> None:
+        addresses = self._fleet.addresses()
+        for address in addresses:
+            if address not in self._tasks_by_address:
+                self._tasks_by_address[address] = tasks.start(
+                    self._speak(address), f'reports to {address}'
+                )
+        for address in list(self._tasks_by_address):
+            if address not in addresses:
+                self._tasks_by_address.pop(address).cancel()
+
+    def _interval_s(self) -> float:
+        return max(MIN_INTERVAL_S, self._fleet.vms() / REPORTS_PER_S)
+
+    async def _speak(self, address: str) -> None:
+        """Sends reports to one address for as long as it is known."""
+        host, _, port = address.rpartition(':')
+        channel = grpclib.client.Channel(host, int(port))
+        try:
+            while True:
+                changes = self._workload.changes
+                if not await self._report(channel):
+                    # A channel that fell silent may stay so for good.
+                    channel.close()
+                    channel = grpclib.client.Channel(host, int(port))
+                    await asyncio.sleep(RETRY_INTERVAL_S)
+                    continue
+                await asyncio.sleep(self._interval_s())
+                await self._wait_for_change(changes)
+        finally:
+            channel.close()
+
+    async def _wait_for_change(self, changes: int) -> None:
+        try:
+            async with asyncio.timeout(IDLE_INTERVAL_S):
+                await self._workload.wait_for_change(changes)
+        except TimeoutError:
+            pass
+
+    async def _report(self, channel: grpclib.client.Channel) -> bool:
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                reply = await fleet_grpc.FleetStub(channel).Report(
+                    self._own_report()
+                )
+        except (
+            OSError,
+            TimeoutError,
+            grpclib.exceptions.GRPCError,
+            grpclib.exceptions.ProtocolError,
+            grpclib.exceptions.StreamTerminatedError,
+        ) as exc:
+            LOG.debug('member did not answer: %s', exc)
+            return False
+        self._fleet.hear(_member_of(reply.sender))
+        self._fleet.name(map(_member_of, reply.members))
+        return True
+
+    def _own_report(self) -> fleet_pb2.LoadReport:
+        self._number += 1
+        return fleet_pb2.LoadReport(
+            sender=_message_of(self._fleet.me),
+            number=self._number,
+            leaving=self.is_leaving,
+            loads=[
+                _load_message(endpoint_id, load)
+                for endpoint_id, load in self._workload.own_loads().items()
+            ],
+        )
+
+    def take(self, report: fleet_pb2.LoadReport) -> fleet_pb2.LoadReply:
+        """Takes a member's report in and answers with who else is there."""
+        sender = _member_of(report.sender)
+        key = (sender.vm_id, sender.incarnation)
+        if report.number > self._last_numbers.get(key, 0):
+            self._last_numbers[key] = report.number
+            if report.leaving:
+                self._fleet.leave(sender.vm_id)
+            else:
+                self._fleet.hear(sender)
+            self._workload.hear(
+                sender.vm_id,
+                {
+                    ids.EndpointId(load.endpoint_id): _load_of(load)
+                    for load in report.loads
+                },
+            )
+        return fleet_pb2.LoadReply(
+            sender=_message_of(self._fleet.me),
+            members=map(_message_of, self._fleet.alive()),
+        )
+
+
+class FleetServer(fleet_grpc.FleetBase):
+    """Answers other VMs."""
+
+    def __init__(self, reports: FleetReports) -> None:
+        self._reports = reports
+
+    async def Report(  # noqa: N802
+        self, stream: 'grpclib.server.Stream[Any, Any]'
+    ) -> None:
+        """Takes one report in."""
+        report = await stream.recv_message()
+        if report is not None:
+            await stream.send_message(self._reports.take(report))
+
+
+def _member_of(message: fleet_pb2.Member) -> fleet_module.Member:
+    return fleet_module.Member(
+        ids.VmId(message.vm_id),
+        ids.Incarnation(message.incarnation),
+        message.address,
+    )
+
+
+def _message_of(member: fleet_module.Member) -> fleet_pb2.Member:
+    return fleet_pb2.Member(
+        vm_id=member.vm_id,
+        incarnation=member.incarnation,
+        address=member.address,
+    )
+
+
+def _load_message(
+    endpoint_id: ids.EndpointId, load: workload_module.EndpointLoad
+) -> fleet_pb2.EndpointLoad:
+    return fleet_pb2.EndpointLoad(
+        endpoint_id=endpoint_id,
+        running=load.running,
+        read_ms=int(load.read_s * _MS),
+        memory_tokens=load.memory_tokens,
+        writers=[
+            fleet_pb2.Writers(
+                max_gap_ms=int(group.max_gap_s * _MS),
+                count=group.count,
+                value=group.value,
+            )
+            for group in load.writers
+        ],
+        helping=load.helping,
+    )
+
+
+def _load_of(message: fleet_pb2.EndpointLoad) -> workload_module.EndpointLoad:
+    return workload_module.EndpointLoad(
+        message.running,
+        message.read_ms / _MS,
+        message.memory_tokens,
+        tuple(
+            workload_module.Writers(
+                group.max_gap_ms / _MS, group.count, group.value
+            )
+            for group in message.writers
+        ),
+        message.helping,
+    )
--- a/packages/galenaquay/galenaquay/engines/workload.py
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -3,6 +3,7 @@
 Exact for the requests that this VM has sent; peers add sums for theirs.
 """
 
+import asyncio
 from collections.abc import Callable, Iterable
 import dataclasses
 import time
@@ -73,6 +74,9 @@
             ids.VmId, tuple[float, dict[ids.EndpointId, EndpointLoad]]
         ] = {}
         self._hints: dict[ids.EndpointId, tuple[float, int]] = {}
+        # Counts what has changed in this VM's own jobs.
+        self.changes = 0
+        self._changed = asyncio.Event()
 
     def now_s(self) -> float:
         """Returns the time on the clock that jobs are held to."""
@@ -81,6 +85,7 @@
     def add(self, endpoint_id: ids.EndpointId, job: Job) -> None:
         """Notes that a job was sent."""
         self._jobs_by_endpoint.setdefault(endpoint_id, []).append(job)
+        self.note_change()
 
     def remove(self, endpoint_id: ids.EndpointId, job: Job) -> None:
         """Notes that a job has ended."""
@@ -88,6 +93,18 @@
         jobs[:] = [other for other in jobs if other is not job]
         if not jobs:
             self._jobs_by_endpoint.pop(endpoint_id, None)
+        self.note_change()
+
+    def note_change(self) -> None:
+        """Notes that a job has begun to write, or the like."""
+        self.changes += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_for_change(self, changes: int) -> None:
+        """Returns when there are changes beyond those counted so far."""
+        while self.changes == changes:
+            await self._changed.wait()
 
     def hint(self, endpoint_id: ids.EndpointId, running: int) -> None:
         """Notes what an endpoint said of its own load."""
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -494,6 +494,7 @@
             job.is_reading = False
             if job.is_help and not job.memory_tokens:
                 self._parts.workload.remove(endpoint_id, job)
+        self._parts.workload.note_change()
 
     async def _pass_event(
         self, head: exchange.Head, event: event_cutter.Event
