--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 DEPLOYMENT ?= vakaloloma
 PACKAGES := packages/galenaquay-api packages/galenaquay \
-	packages/galenaquay-standins packages/galenaquayctl
+	packages/galenaquay-standins packages/galenaquayctl platform
 
 .PHONY: setup demo test lint format lock capacity clean
 
@@ -24,12 +24,12 @@
 	$(BIN)/python tools/run_tests.py
 
 lint: setup
-	$(BIN)/ruff format --check packages tests tools
-	$(BIN)/flake8 packages tests tools
+	$(BIN)/ruff format --check packages platform tests tools
+	$(BIN)/flake8 packages platform tests tools
 	$(BIN)/mypy
 
 format: setup
-	$(BIN)/ruff format packages tests tools
+	$(BIN)/ruff format packages platform tests tools
 
 lock:
 	tools/lock.sh
--- a/packages/galenaquay/galenaquay/configuration/current.py
+++ b/packages/galenaquay/galenaquay/configuration/current.py
@@ -9,8 +9,8 @@
 import logging
 from typing import Final
 
-from . import routes as routes_module
 from .. import clocks
+from . import routes as routes_module
 
 LOG: Final = logging.getLogger(__name__)
 # Share of the time within which a removed key must be refused that may pass
--- a/packages/galenaquay/galenaquay/engines/directory.py
+++ b/packages/galenaquay/galenaquay/engines/directory.py
@@ -91,9 +91,7 @@
         """Says which zones must receive nothing new."""
         withdrawn = set(zones)
         if withdrawn != self.withdrawn_zones:
-            LOG.info(
-                'withdrawn zones', extra={'withdrawn': sorted(withdrawn)}
-            )
+            LOG.info('withdrawn zones', extra={'withdrawn': sorted(withdrawn)})
         self.withdrawn_zones = withdrawn
 
     def usable(self, service: ids.ServiceName) -> list[Endpoint]:
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -166,9 +166,7 @@
             status, reason, self.retry_after_s() if status == 503 else None
         )
 
-    def note_call_time(
-        self, service: ids.ServiceName, took_s: float
-    ) -> None:
+    def note_call_time(self, service: ids.ServiceName, took_s: float) -> None:
         """Takes the time of an answer into the usual time of a service."""
         usual_s = self.usual_s_by_service.get(service, USUAL_S)
         self.usual_s_by_service[service] = (
@@ -589,9 +587,7 @@
             await self._reply.refuse(status, reason)
             self._log('failed', status=status, reason=reason)
             return
-        await self._reply.refuse(
-            503, reason, self._forwarder.retry_after_s()
-        )
+        await self._reply.refuse(503, reason, self._forwarder.retry_after_s())
         self._log('refused', status=503, reason=reason)
 
     def _log_placement(self, placement: placement_module.Placement) -> None:
@@ -612,9 +608,7 @@
             },
         )
 
-    def _log(
-        self, outcome: str, status: int = 0, reason: str = ''
-    ) -> None:
+    def _log(self, outcome: str, status: int = 0, reason: str = '') -> None:
         took_s = self._loop.time() - self._started_s
         self._parts.metrics.count('requests', outcome=outcome, status=status)
         self._parts.metrics.observe('request_seconds', took_s)
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -285,9 +285,7 @@
             part_tokens,
         )
 
-    def note_sent(
-        self, service: routes.Service, placement: Placement
-    ) -> None:
+    def note_sent(self, service: routes.Service, placement: Placement) -> None:
         """Counts a request that is sent to an endpoint in cold start."""
         for endpoint in (placement.endpoint, *placement.helpers):
             if service.cold_per_s and self._directory.is_cold(endpoint):
--- a/packages/galenaquay/galenaquay/telemetry.py
+++ b/packages/galenaquay/galenaquay/telemetry.py
@@ -37,9 +37,7 @@
             total = 0
             for bound, n in zip([*BOUNDS_S, '+Inf'], buckets, strict=True):
                 total += n
-                lines.append(
-                    f'{PREFIX}_{name}_bucket{{le="{bound}"}} {total}'
-                )
+                lines.append(f'{PREFIX}_{name}_bucket{{le="{bound}"}} {total}')
             lines.append(f'{PREFIX}_{name}_sum {self._sums_s[name]:.6f}')
             lines.append(f'{PREFIX}_{name}_count {total}')
         return '\n'.join(lines) + '\n'
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import pathlib
 import sys
 
@@ -10,6 +11,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT))
+from tests import platform_support  # noqa: E402
+
 SMALL = dataclasses.replace(
     deployments.VAKALOLOMA,
     zones=('lautoka', 'nadi'),
@@ -18,6 +21,8 @@
     vms=4,
 )
 TIME_SCALE = 10.0
+# Each scenario on the users' platform has ports of its own.
+PLATFORM_PORTS = itertools.count(18000, 150)
 
 
 def before_all(context):
@@ -45,7 +50,19 @@
         context.loop.run_until_complete(fleet.start())
 
 
+def before_scenario(context, scenario):
+    if 'platform' in scenario.effective_tags:
+        port = next(PLATFORM_PORTS)
+        world = platform_support.World(
+            ROOT / '.run' / 'platform' / str(port), port
+        )
+        context.world = world
+        context.loop.run_until_complete(world.start())
+
+
 def after_scenario(context, scenario):
+    if 'platform' in scenario.effective_tags:
+        context.loop.run_until_complete(context.world.stop())
     fleet = context.shared.get('fleet')
     if fleet is not None:
         context.loop.run_until_complete(restore(fleet))
--- /dev/null
+++ b/tests/features/platform_path.feature
@@ -0,0 +1,171 @@
+@platform
+Feature: Requests through the users' platform
+
+  Scenario: A request passes unchanged, with the account and without the key
+    When "/look/a%2Fb;c=1?q=%20x&&y" is asked with odd headers
+    Then the service got the same request for account "acme"
+    And the answer is the service's, with its proof
+
+  Scenario: A call that must not repeat runs once when its connection breaks
+    Given each service will "close" once
+    When a call is made to "/once/x"
+    Then the answer has status 502
+    And the services ran 1 requests
+
+  Scenario: A reset is not followed by a silent second call
+    Given each service will "reset" once
+    When a call is made to "/once/x"
+    Then the answer has status 502
+    And the services ran 1 requests
+
+  Scenario: A repeatable call is tried at a second endpoint and no further
+    Given each service will "close" once
+    When "/look/x" is asked
+    Then the answer has status 502
+    And the services ran 2 requests
+
+  Scenario: A refusal says that nothing ran and when to return
+    Given each service will "reject" once
+    When a call is made to "/once/x"
+    Then the answer has status 503
+    And it says when to return
+    And the services ran 0 requests
+
+  Scenario: An endpoint's own failure is passed on as it is
+    Given each service will "fail" once
+    When a call is made to "/once/x"
+    Then the answer has status 500
+    And the answer carries a proof
+
+  Scenario Outline: What proves nothing is no success
+    Given each service will "<fault>" once
+    When a call is made to "/once/x"
+    Then the answer has status 502
+    And the answer carries no proof
+
+    Examples:
+      | fault          |
+      | unproved       |
+      | crossed        |
+      | unframed reset |
+
+  Scenario: A second answer on the same connection belongs to nobody
+    Given each service will "extra" once
+    When two calls are made on one connection
+    Then each gets one whole answer
+
+  Scenario: A body that ends with its connection is whole
+    Given each service will "unframed" once
+    When a call is made to "/once/x"
+    Then the answer is the service's, with its proof
+
+  Scenario: A body is not decoded on the way
+    Given each service will "encoded" once
+    When a call is made to "/once/x"
+    Then the answer is the service's, with its proof
+
+  Scenario: An endpoint that answers before it has read the body
+    Given each service will "early" once
+    When a call of 90000 bytes is made to "/once/x"
+    Then the answer has status 503
+    And the body that the service read later is a part of the call's
+
+  Scenario: Requests that hide another are refused
+    Then no request with two lengths or two framings reaches a service
+
+  Scenario: A body over the limit is refused
+    When a call of 100001 bytes is made to "/once/x"
+    Then the answer has status 413
+    And the services ran 0 requests
+
+  Scenario: A silent endpoint ends with the route's time
+    Given each service will "mute" once
+    When a call is made to "/brief/x" and timed
+    Then the answer came between 0.25 and 0.8 seconds
+    And the answer has status 504
+
+  Scenario: A caller that leaves ends the request at the engine
+    Given each engine sends an event every 0.3 seconds
+    When a caller leaves a stream after 0.5 seconds
+    Then the engine sees it leave within 0.6 seconds
+
+  Scenario: A stream that breaks is resumed at another engine
+    Given one engine will break off inside an event
+    When a stream is asked on "/ask/x"
+    Then every event came once and in order
+    And the answer is whole
+    And the second engine was asked to go on
+
+  Scenario: A stream that must not be resumed is visibly broken off
+    Given one engine will break off inside an event
+    When a stream is asked on "/tell/x"
+    Then the answer is not whole
+    And the engines ran 1 requests
+
+  Scenario: Keys that are taken away open nothing
+    When the key is replaced
+    Then a call with the old key soon gets 401
+    And a call with the new key is served
+
+  Scenario: Without a way to the store keys open nothing, and soon again
+    When the store turns everybody away
+    Then within the time for keys a call with a key gets 503
+    And a call to a public route is served
+    And a call with a key is served soon after the store is back
+
+  Scenario: Lost history is read anew
+    When the store loses its history while the key is replaced
+    Then a call with the old key soon gets 401
+
+  Scenario: An unknown path and an unreadable entry
+    When an entry that cannot be read is listed
+    Then "/look/x" is still served
+    And "/nowhere/x" gets 404
+
+  Scenario: Draining endpoints and withdrawn zones receive nothing
+    When one service drains
+    Then only the other service gets calls
+    When the zone is withdrawn
+    Then a call gets 503 and no service gets it
+    And calls are served again when the zone is taken back
+
+  Scenario: An address that another service has now
+    When an engine's address is used by a service
+    Then no call runs at the engine
+
+  Scenario: A prompt over one engine's memory is held by several
+    Given 6 more engines
+    When a prompt of 600000 tokens is asked
+    Then the answer is whole
+    And memory was set aside at several engines and all of it given back
+
+  Scenario: Memory comes back when the entry dies
+    Given 6 more engines
+    And each engine sends an event every 0.3 seconds
+    When the entry is killed while a prompt of 600000 tokens is written
+    Then no engine holds memory 3.5 seconds later
+
+  Scenario: Memory that a lost order may have taken is released
+    Given 6 more engines
+    When orders are carried out and not answered
+    And a prompt of 600000 tokens is asked
+    Then no engine holds memory once orders are answered again
+
+  Scenario: Entries find each other and tell their loads
+    Given each engine sends an event every 0.3 seconds
+    When a second entry starts
+    Then each entry hears the other
+    And what one has placed keeps the other from that engine
+
+  Scenario: A shutdown cuts no request
+    Given each engine sends an event every 0.3 seconds
+    When the entry is told to stop while a stream is written
+    Then it calls itself not ready at once
+    And a call that still arrives is served and the connection closed
+    And the stream ends whole
+    And the entry ends by itself
+
+  Scenario: An entry that knows nothing yet refuses
+    When an entry starts while the store turns everybody away
+    Then it is not ready and refuses with 503
+    And it is ready soon after the store is back
--- /dev/null
+++ b/tests/platform_support.py
@@ -0,0 +1,277 @@
+"""Runs entries of the users' platform beside stand-ins, on loopback."""
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import sys
+
+import h11
+
+from galenaquay_standins import kv_store
+from galenaquay_standins import sealed_engine
+
+HOST = 'shop.example'
+KEY = 'key-of-acme'
+REVOKE_S = 2.0
+GRACE_S = 6.0
+SERVICE = 'ledger'
+POOL = 'models'
+ENGINE = {
+    'slots': 8,
+    'kvCapacity': 450000,
+    'stride': 46,
+    'step_ms': 0.925,
+    'per_seq_ms': 0.00966,
+    'context_per_k': 0.00254,
+    'read_per_s': 256000.0,
+    'pairs_per_m': 0.0917,
+    'usual': {'prompt': 13000, 'answer': 1500},
+}
+
+
+def route(name, prefix, kind, service, **others):
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': prefix,
+        'kind': kind,
+        'timeoutMs': 4000,
+        'targetLatencyMs': 300,
+        'priority': 1,
+        'service': service,
+        'maxAttempts': 2,
+        'public': False,
+        **others,
+    }
+
+
+def configuration(version=1, keys=(KEY,), **changes):
+    return {
+        'version': version,
+        'routes': [
+            route('once', '/once/', 'non_idempotent', SERVICE, maxAttempts=1),
+            route('look', '/look/', 'idempotent', SERVICE),
+            route('brief', '/brief/', 'idempotent', SERVICE, timeoutMs=300),
+            route('open', '/open/', 'idempotent', SERVICE, public=True),
+            route(
+                'ask',
+                '/ask/',
+                'streaming',
+                POOL,
+                resumable=True,
+                gapAimMs=200,
+                timeoutMs=8000,
+            ),
+            route('tell', '/tell/', 'streaming', POOL, gapAimMs=200),
+        ],
+        'services': [
+            {'name': SERVICE, 'healthPath': '/healthz', 'coldPerS': 0.0},
+            {
+                'name': POOL,
+                'healthPath': '/healthz',
+                'coldPerS': 28.0,
+                'engine': ENGINE,
+            },
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 100000,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': [{'name': 'acme', 'apiKeys': list(keys)}],
+        **changes,
+    }
+
+
+@dataclasses.dataclass
+class Answer:
+    status: int
+    headers: dict
+    body: bytes
+    is_complete: bool
+
+
+async def ask(port, method, target, body=b'', leave_after_s=None, **headers):
+    """Sends one request; returns the answer and whether it was whole."""
+    fields = {
+        'Host': HOST,
+        'Authorization': f'Bearer {KEY}',
+        'X-Attempt-Id': os.urandom(8).hex(),
+        'X-Deadline-Ms': '8000',
+    }
+    for name, value in headers.items():
+        fields[name.replace('_', '-')] = value
+    if body or method == 'POST':
+        fields['Content-Length'] = str(len(body))
+    lines = [f'{method} {target} HTTP/1.1']
+    lines += [f'{name}: {value}' for name, value in fields.items() if value]
+    data = '\r\n'.join([*lines, '', '']).encode() + body
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    try:
+        writer.write(data)
+        if leave_after_s is not None:
+            await asyncio.sleep(leave_after_s)
+            return None
+        return await read_answer(reader, method)
+    finally:
+        writer.transport.abort()
+
+
+async def read_answer(reader, method='POST'):
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method=method, target='/', headers=[('Host', '')]))
+    parser.send(h11.EndOfMessage())
+    answer = Answer(0, {}, b'', False)
+    try:
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(await reader.read(65536))
+            elif isinstance(event, h11.Response):
+                answer.status = event.status_code
+                answer.headers = {
+                    name.decode(): value.decode()
+                    for name, value in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                answer.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                answer.is_complete = True
+                return answer
+            else:
+                return answer
+    except (OSError, h11.RemoteProtocolError):
+        return answer
+
+
+async def send_raw(port, data):
+    """Sends bytes; returns everything that comes back."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(data)
+    try:
+        async with asyncio.timeout(1.0):
+            return await reader.read(65536)
+    except (TimeoutError, OSError):
+        return b''
+    finally:
+        writer.transport.abort()
+
+
+class World:
+    """A store, engines, services, and entries as processes."""
+
+    def __init__(self, folder, base_port):
+        self.folder = pathlib.Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.base_port = base_port
+        self.store = kv_store.KvStore()
+        self.engines_by_name = {}
+        self.processes = {}
+        self.version = 1
+
+    def port(self, offset):
+        return self.base_port + offset
+
+    def front_port(self, vm=0):
+        return self.port(100 + vm * 10)
+
+    async def start(self, engines=2, services=2, vms=1, events=8):
+        await self.store.start(self.port(0))
+        for i in range(engines):
+            await self.add_engine(f'e{i}', POOL, 'ba', 10 + i, events)
+        for i in range(services):
+            await self.add_engine(f's{i}', SERVICE, 'ba', 40 + i)
+        self.publish()
+        for vm in range(vms):
+            await self.start_vm(vm)
+
+    async def add_engine(self, name, service, zone, offset, events=0):
+        engine = sealed_engine.SealedEngine(
+            name, service, zone, self.port(offset), events
+        )
+        await engine.start()
+        self.engines_by_name[name] = engine
+        self.store.put(f'servers/{name}', engine.entry())
+        return engine
+
+    def publish(self, **changes):
+        self.version += 1
+        self.store.put('op/config', configuration(self.version, **changes))
+
+    async def start_vm(self, vm=0, wait=True):
+        front = self.front_port(vm)
+        seeds = f'127.0.0.1:{self.front_port(0) + 2}'
+        path = self.folder / f'vm{vm}.conf'
+        lines = [
+            f'node=vm-{vm}',
+            'zone=ba',
+            f'listen.front=127.0.0.1:{front}',
+            f'listen.readiness=127.0.0.1:{front + 1}',
+            f'listen.control=127.0.0.1:{front + 2}',
+            f'seeds={seeds}',
+            f'platform.address=127.0.0.1:{self.port(0)}',
+            f'bounds.revokeMs={int(REVOKE_S * 1000)}',
+            f'bounds.graceS={GRACE_S}',
+        ]
+        path.write_text('\n'.join(lines) + '\n')
+        with (self.folder / f'vm{vm}.log').open('ab') as log:
+            self.processes[vm] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'galenaquay_platform',
+                env={**os.environ, 'GALENAQUAY_CONFIG': str(path)},
+                stdout=log,
+                stderr=log,
+            )
+        if wait:
+            await self.wait_until(lambda: self.is_ready(vm), 10.0)
+
+    def log(self, vm=0):
+        return (self.folder / f'vm{vm}.log').read_text()
+
+    async def is_ready(self, vm=0):
+        with contextlib.suppress(OSError):
+            answer = await ask(self.front_port(vm) + 1, 'GET', '/api/readyz')
+            return answer.status == 200
+        return False
+
+    async def wait_until(self, check, seconds):
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + seconds
+        while True:
+            found = check()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return
+            assert loop.time() < until_s, 'did not come true in time'
+            await asyncio.sleep(0.02)
+
+    def arrivals(self, service):
+        return [
+            request
+            for engine in self.engines_by_name.values()
+            if engine.service == service
+            for request in engine.received
+        ]
+
+    def runs(self, service):
+        return [r for r in self.arrivals(service) if r.has_run]
+
+    def break_all(self, service, *faults):
+        for engine in self.engines_by_name.values():
+            if engine.service == service:
+                engine.faults = list(faults)
+
+    async def stop(self):
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.send_signal(signal.SIGKILL)
+                await process.wait()
+        for engine in self.engines_by_name.values():
+            await engine.stop()
+        await self.store.stop()
