Let one VM confirm the keys for all

And a VM that was shutting down took archives that its grace could not hold: five cut at once.

A request whose estimate outlasts the shutdown is refused.

Ruled out: the lease itself, which stays at 0.86 of revokeMs.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from typing import Any, Final
 
 from galenaquay_api import fleet_grpc
@@ -17,6 +18,7 @@
 
 from .. import ids
 from .. import tasks
+from ..configuration import current as current_module
 from ..engines import workload as workload_module
 from ..limits import cold_starts as cold_starts_module
 from ..membership import fleet as fleet_module
@@ -45,11 +47,13 @@
         fleet: fleet_module.Fleet,
         workload: workload_module.Workload,
         cold_starts: cold_starts_module.ColdStarts,
+        current: current_module.Current,
     ) -> None:
         self.is_leaving = False
         self._fleet = fleet
         self._workload = workload
         self._cold_starts = cold_starts
+        self._current = current
         self._number = 0
         self._last_numbers: dict[tuple[ids.VmId, int], int] = {}
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
@@ -105,6 +109,7 @@
             pass
 
     async def _report(self, channel: grpclib.client.Channel) -> bool:
+        asked_at_s = self._current.now_s()
         try:
             async with asyncio.timeout(ANSWER_S):
                 reply = await fleet_grpc.FleetStub(channel).Report(
@@ -121,6 +126,13 @@
             return False
         self._fleet.hear(_member_of(reply.sender))
         self._fleet.name(map(_member_of, reply.members))
+        confirmed_at_s = None
+        if reply.confirmed_age_ms_plus_one:
+            # The age was told after this VM had asked, so the time that the
+            # reply took makes the confirmation older, never newer.
+            age_ms = reply.confirmed_age_ms_plus_one - 1
+            confirmed_at_s = asked_at_s - age_ms / _MS
+        self._current.hear(reply.config_version, confirmed_at_s)
         return True
 
     def _own_report(self) -> fleet_pb2.LoadReport:
@@ -152,9 +164,15 @@
                     for load in report.loads
                 },
             )
+        table = self._current.table
+        age_s = self._current.age_s()
         return fleet_pb2.LoadReply(
             sender=_message_of(self._fleet.me),
             members=map(_message_of, self._fleet.alive()),
+            config_version=table.version if table is not None else 0,
+            confirmed_age_ms_plus_one=(
+                0 if age_s is None else math.ceil(age_s * _MS) + 1
+            ),
         )
 
 
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 import dataclasses
 import logging
+import math
 import random
 from typing import Final
 
@@ -42,6 +43,9 @@
 # multiple of the longest pause that the caller accepts and at least, seconds.
 GAP_FACTOR: Final = 3.0
 GAP_MIN_S: Final = 1.1
+# Multiple of an answer's estimated time that a process which is shutting down
+# must still have.
+SHUTDOWN_FACTOR: Final = 1.5
 # Connections that may fail before a request is given up.
 MAX_UNSENT: Final = 4
 # Weight of a rejection among an endpoint's failures.
@@ -85,6 +89,8 @@
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
+        # When this process ends, on the loop's clock.
+        self.ends_at_s = math.inf
         self.usual_s_by_service: dict[ids.ServiceName, float] = {}
 
     async def serve(
@@ -208,6 +214,7 @@
         self._failure: tuple[exchange.Head, bytes] | None = None
         self._last_event_id = admitted.request.last_event_id
         self._last_number: int | None = None
+        self._first_event_s: float | None = None
 
     def _time_left_s(self) -> float:
         return self._admitted.deadline_s - self._loop.time()
@@ -235,6 +242,9 @@
         if placement.first_event_s > self._time_left_s():
             await self._give_up('cannot be served in time', 502)
             return True
+        if self._ends_too_late(placement):
+            await self._give_up('this VM shuts down before its end', 502)
+            return True
         jobs = self._take_jobs(placement)
         try:
             await self._send(placement, jobs)
@@ -246,6 +256,12 @@
                 self._parts.workload.remove(endpoint_id, job)
         return True
 
+    def _ends_too_late(self, placement: placement_module.Placement) -> bool:
+        """Tells whether this process will have ended before the answer."""
+        expected_s = placement.first_event_s + placement.write_s
+        ends_at_s = self._loop.time() + expected_s * SHUTDOWN_FACTOR
+        return ends_at_s > self._forwarder.ends_at_s
+
     def _place(self) -> placement_module.Placement | None:
         placer = self._parts.placer
         service = self._admitted.service
@@ -485,9 +501,8 @@
     ) -> None:
         took_s = self._loop.time() - sent_s
         self._note_success(placement, took_s)
-        self._parts.metrics.observe(
-            'first_event_seconds', self._loop.time() - self._started_s
-        )
+        self._first_event_s = self._loop.time() - self._started_s
+        self._parts.metrics.observe('first_event_seconds', self._first_event_s)
         for endpoint_id, job in jobs:
             job.is_reading = False
             if job.is_help and not job.memory_tokens:
@@ -620,6 +635,7 @@
                 'status': status,
                 'reason': reason,
                 'attempts': self._attempts,
+                'first_event_s': self._first_event_s,
                 'took_s': round(took_s, 4),
             },
         )
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -61,6 +61,8 @@
     # Memory that each of the engines has to hold, in tokens; 0 if the first
     # holds everything.
     part_tokens: int = 0
+    # Time from the first event to the last, in seconds.
+    write_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -283,6 +285,13 @@
             first_event_s,
             loss,
             part_tokens,
+            reading.passes(
+                times,
+                request.answer_hint_tokens
+                or request.answer_tokens
+                or times.usual_answer_tokens,
+            )
+            * chosen[0].pass_s,
         )
 
     def note_sent(self, service: routes.Service, placement: Placement) -> None:
--- a/packages/galenaquay/galenaquay/routing/reading.py
+++ b/packages/galenaquay/galenaquay/routing/reading.py
@@ -33,6 +33,11 @@
     return times.steps_per_pass * step_ms / _MS
 
 
+def passes(times: routes.EngineTimes, tokens: int) -> int:
+    """Returns the passes in which an answer is written."""
+    return -(-tokens // times.steps_per_pass)
+
+
 def slot_wait_s(
     times: routes.EngineTimes, load: workload.EndpointLoad
 ) -> float:
@@ -40,6 +45,5 @@
     over = load.running + 1 - times.slots
     if over <= 0:
         return 0.0
-    passes = times.usual_answer_tokens / times.steps_per_pass
-    answer_s = passes * pass_s(times, load)
+    answer_s = passes(times, times.usual_answer_tokens) * pass_s(times, load)
     return over * answer_s / times.slots
