Keep unread prompts in the estimate

Change: only the first prompt of each sender can have got on, by nine tenths at most. Silence before another engine is tried grows to 1.5 s and three times the estimate, and to 1.7 s between events: a second reading costs more than the wait.

--- a/packages/galenaquay/galenaquay/engines/workload.py
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -15,6 +15,8 @@
 PEER_AGE_S: Final = 2.0
 # Time after which what an endpoint said in an answer is forgotten, seconds.
 HINT_AGE_S: Final = 0.4
+# Share of a prompt that is at most taken for read before its first event.
+MAX_PROGRESS_SHARE: Final = 0.9
 
 
 @dataclasses.dataclass
@@ -74,6 +76,8 @@
             ids.VmId, tuple[float, dict[ids.EndpointId, EndpointLoad]]
         ] = {}
         self._hints: dict[ids.EndpointId, tuple[float, int]] = {}
+        # When an endpoint last finished reading one of this VM's prompts.
+        self._read_at_s: dict[ids.EndpointId, float] = {}
         # Counts what has changed in this VM's own jobs.
         self.changes = 0
         self._changed = asyncio.Event()
@@ -93,10 +97,20 @@
         jobs[:] = [other for other in jobs if other is not job]
         if not jobs:
             self._jobs_by_endpoint.pop(endpoint_id, None)
+            self._read_at_s.pop(endpoint_id, None)
         self.note_change()
 
+    def note_read(self, endpoint_id: ids.EndpointId, job: Job) -> None:
+        """Notes that a job's prompt has been read."""
+        job.is_reading = False
+        self._read_at_s[endpoint_id] = self._clock()
+        if job.is_help and not job.memory_tokens:
+            self.remove(endpoint_id, job)
+        else:
+            self.note_change()
+
     def note_change(self) -> None:
-        """Notes that a job has begun to write, or the like."""
+        """Wakes whoever tells others of the jobs."""
         self.changes += 1
         self._changed.set()
         self._changed = asyncio.Event()
@@ -120,7 +134,9 @@
         """Returns the sums over this VM's own jobs."""
         now_s = self._clock()
         return {
-            endpoint_id: _sum_of(jobs, now_s)
+            endpoint_id: _sum_of(
+                jobs, self._read_at_s.get(endpoint_id, 0.0), now_s
+            )
             for endpoint_id, jobs in self._jobs_by_endpoint.items()
         }
 
@@ -173,16 +189,26 @@
     )
 
 
-def _sum_of(jobs: list[Job], now_s: float) -> EndpointLoad:
-    reading = [job for job in jobs if job.is_reading]
-    read_s = sum(job.read_s for job in reading)
-    if reading:
-        # The oldest is read first.
-        elapsed_s = now_s - min(job.started_at_s for job in reading)
-        read_s = max(0.0, read_s - elapsed_s)
+def _read_left_s(reading: list[Job], done_at_s: float, now_s: float) -> float:
+    """Returns the time until all prompts have been read, in seconds.
+
+    Only the first can have got on, since the engine reads one after the
+    other; how far the others' requests have delayed it is not known.
+    """
+    if not reading:
+        return 0.0
+    first = min(reading, key=lambda job: job.started_at_s)
+    elapsed_s = now_s - max(first.started_at_s, done_at_s)
+    progress_s = min(elapsed_s, first.read_s * MAX_PROGRESS_SHARE)
+    return sum(job.read_s for job in reading) - progress_s
+
+
+def _sum_of(jobs: list[Job], done_at_s: float, now_s: float) -> EndpointLoad:
     return EndpointLoad(
         sum(not job.is_help for job in jobs),
-        read_s,
+        _read_left_s(
+            [job for job in jobs if job.is_reading], done_at_s, now_s
+        ),
         sum(job.memory_tokens for job in jobs),
         group_writers(
             Writers(job.max_gap_s, 1, job.value)
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -37,12 +37,12 @@
 FIRST_ATTEMPT_SHARE: Final = 0.45
 # Silence before the first event after which another engine is tried: a
 # multiple of the estimate and some time besides, in seconds.
-FIRST_EVENT_FACTOR: Final = 2.5
-FIRST_EVENT_EXTRA_S: Final = 1.2
+FIRST_EVENT_FACTOR: Final = 3.0
+FIRST_EVENT_EXTRA_S: Final = 1.5
 # Silence between events after which a stream is resumed elsewhere, as a
 # multiple of the longest pause that the caller accepts and at least, seconds.
-GAP_FACTOR: Final = 3.0
-GAP_MIN_S: Final = 1.1
+GAP_FACTOR: Final = 6.0
+GAP_MIN_S: Final = 1.7
 # Multiple of an answer's estimated time that a process which is shutting down
 # must still have.
 SHUTDOWN_FACTOR: Final = 1.5
@@ -504,10 +504,7 @@
         self._first_event_s = self._loop.time() - self._started_s
         self._parts.metrics.observe('first_event_seconds', self._first_event_s)
         for endpoint_id, job in jobs:
-            job.is_reading = False
-            if job.is_help and not job.memory_tokens:
-                self._parts.workload.remove(endpoint_id, job)
-        self._parts.workload.note_change()
+            self._parts.workload.note_read(endpoint_id, job)
 
     async def _pass_event(
         self, head: exchange.Head, event: event_cutter.Event
