Hold long prompts where they are read

Cause: a prompt of 439,477 tokens filled its first engine's memory, so one of 88,940 sent there 45 ms later by another VM waited 5.8 s for it; and parts read for others, which go first at an engine, put off prompts that waited there at no cost in the estimate.

Change: a prompt over 0.45 of an engine's memory that several engines read is held by all of them; a part costs what it puts off: value by target of all that is to be read there. Ruled out: reading a single chunk a pass; shorts beside writers come as the step model says.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -224,6 +224,7 @@
             for group in load.writers
         ],
         helping=load.helping,
+        read_urgency=load.read_urgency,
     )
 
 
@@ -239,4 +240,5 @@
             for group in message.writers
         ),
         message.helping,
+        message.read_urgency,
     )
--- a/packages/galenaquay/galenaquay/engines/workload.py
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -31,6 +31,8 @@
     max_gap_s: float
     # What its caller loses if it is late.
     value: float
+    # Time to the first event that its caller expects, in seconds.
+    target_s: float
     started_at_s: float
     is_reading: bool = True
     # A part that is read for a request at another endpoint.
@@ -59,6 +61,8 @@
     writers: tuple[Writers, ...] = ()
     # Parts that are read for requests at other endpoints.
     helping: int = 0
+    # Sum over what is to be read of value / target, a second.
+    read_urgency: float = 0.0
 
     @property
     def writing(self) -> int:
@@ -172,6 +176,7 @@
         one.memory_tokens + two.memory_tokens,
         group_writers([*one.writers, *two.writers]),
         one.helping + two.helping,
+        one.read_urgency + two.read_urgency,
     )
 
 
@@ -216,4 +221,5 @@
             if not job.is_reading and not job.is_help
         ),
         sum(job.is_help for job in jobs),
+        sum(job.value / job.target_s for job in jobs if job.is_reading),
     )
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -289,6 +289,7 @@
                 tokens,
                 self._route.max_gap_s,
                 value,
+                self._route.target_s,
                 now_s,
                 is_help=is_help,
             )
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -21,6 +21,9 @@
 
 # Engines that may read one prompt together.
 GROUP_SIZES: Final = (1, 2, 3, 4, 5, 6, 8, 10, 12, 16)
+# Share of an engine's memory above which a prompt that several engines read is
+# also held by all of them: others would wait for the memory until its end.
+HELD_ALONE_SHARE: Final = 0.45
 # Share of an engine's memory that one part of a prompt may take.
 MAX_PART_SHARE: Final = 0.8
 # A prompt that is read faster than this is not divided, in seconds.
@@ -37,6 +40,9 @@
 GAP_WIDTH: Final = 0.06
 # What waiting costs before it is late, in shares of the value at the target.
 WAIT_LOSS: Final = 0.05
+# Share of an answer's value that is lost if its prompt's reading is put off by
+# the whole target, as a part that is read for another engine does.
+PUT_OFF_LOSS: Final = 0.4
 # What a second of an engine's reading costs others who may come.
 READ_COST_PER_S: Final = 0.25
 # What each further engine costs, since any of them may fail.
@@ -229,7 +235,10 @@
         value = value_of(request.prompt_tokens)
         needed = request.prompt_tokens + request.answer_tokens
         part_tokens = 0
-        if needed > times.memory_tokens:
+        held_alone_tokens = times.memory_tokens
+        if size > 1:
+            held_alone_tokens = int(times.memory_tokens * HELD_ALONE_SHARE)
+        if needed > held_alone_tokens:
             part_tokens = needed // size + 1
             if part_tokens > times.memory_tokens * MAX_PART_SHARE:
                 return None
@@ -251,6 +260,7 @@
                 _gap_loss(gap_s, candidate.load)
                 + value * _wait_loss(first_s, route.target_s)
                 + value * candidate.base_loss
+                + PUT_OFF_LOSS * own_read_s * candidate.load.read_urgency
             )
 
         ranked = sorted((loss_at(c), i) for i, c in enumerate(candidates))
@@ -276,6 +286,9 @@
             ) * candidate.pace + candidate.pass_s
             loss += _gap_loss(gap_s, candidate.load)
             loss += value * candidate.base_loss
+        for candidate in chosen[1:]:
+            put_off_s = read_s * candidate.pace
+            loss += PUT_OFF_LOSS * put_off_s * candidate.load.read_urgency
         loss += READ_COST_PER_S * read_s * size
         loss += HELPER_COST * (size - 1)
         return Placement(
