--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import math
 from typing import Any, Final
@@ -28,10 +29,11 @@
 ANSWER_S: Final = 0.5
 # Time between two reports to one member when nothing changes, in seconds.
 IDLE_INTERVAL_S: Final = 1.0
-# Time between two reports to one member, at least, in seconds.
-MIN_INTERVAL_S: Final = 0.06
+# Time between two reports to one member, at least, in seconds; the longer one
+# where nothing has changed but short prompts and plain calls.
+MIN_INTERVAL_S: Final = 0.05
 # Reports that one VM sends in a second, to all members together.
-REPORTS_PER_S: Final = 90.0
+REPORTS_PER_S: Final = 40.0
 # Time before speaking again to an address that has not answered, in seconds.
 RETRY_INTERVAL_S: Final = 0.5
 # Time between two looks at which addresses there are, in seconds.
@@ -81,7 +83,7 @@
                 self._tasks_by_address.pop(address).cancel()
 
     def _interval_s(self) -> float:
-        return max(MIN_INTERVAL_S, self._fleet.vms() / REPORTS_PER_S)
+        return len(self._tasks_by_address) / REPORTS_PER_S
 
     async def _speak(self, address: str) -> None:
         """Sends reports to one address for as long as it is known."""
@@ -90,23 +92,30 @@
         try:
             while True:
                 changes = self._workload.changes
+                urgent = self._workload.urgent_changes
                 if not await self._report(channel):
                     # A channel that fell silent may stay so for good.
                     channel.close()
                     channel = grpclib.client.Channel(host, int(port))
                     await asyncio.sleep(RETRY_INTERVAL_S)
                     continue
-                await asyncio.sleep(self._interval_s())
-                await self._wait_for_change(changes)
+                await asyncio.sleep(MIN_INTERVAL_S)
+                await self._wait_for_urgent(urgent, self._interval_s())
+                if self._workload.urgent_changes == urgent:
+                    await self._wait_for_change(changes)
         finally:
             channel.close()
 
+    async def _wait_for_urgent(self, urgent: int, seconds: float) -> None:
+        """Waits for some time, less if something large changes."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._workload.wait_for_urgent_change(urgent)
+
     async def _wait_for_change(self, changes: int) -> None:
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(IDLE_INTERVAL_S):
                 await self._workload.wait_for_change(changes)
-        except TimeoutError:
-            pass
 
     async def _report(self, channel: grpclib.client.Channel) -> bool:
         asked_at_s = self._current.now_s()
@@ -196,6 +205,7 @@
         ids.VmId(message.vm_id),
         ids.Incarnation(message.incarnation),
         message.address,
+        ids.ZoneName(message.zone),
     )
 
 
@@ -204,6 +214,7 @@
         vm_id=member.vm_id,
         incarnation=member.incarnation,
         address=member.address,
+        zone=member.zone,
     )
 
 
--- a/packages/galenaquay/galenaquay/engines/workload.py
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -15,6 +15,8 @@
 PEER_AGE_S: Final = 2.0
 # Time after which what an endpoint said in an answer is forgotten, seconds.
 HINT_AGE_S: Final = 0.4
+# Reading time of a prompt that others should learn of at once, in seconds.
+URGENT_READ_S: Final = 0.12
 # Share of a prompt that is at most taken for read before its first event.
 MAX_PROGRESS_SHARE: Final = 0.9
 
@@ -84,6 +86,8 @@
         self._read_at_s: dict[ids.EndpointId, float] = {}
         # Counts what has changed in this VM's own jobs.
         self.changes = 0
+        # Counts those that others should learn of at once.
+        self.urgent_changes = 0
         self._changed = asyncio.Event()
 
     def now_s(self) -> float:
@@ -93,7 +97,7 @@
     def add(self, endpoint_id: ids.EndpointId, job: Job) -> None:
         """Notes that a job was sent."""
         self._jobs_by_endpoint.setdefault(endpoint_id, []).append(job)
-        self.note_change()
+        self.note_change(job)
 
     def remove(self, endpoint_id: ids.EndpointId, job: Job) -> None:
         """Notes that a job has ended."""
@@ -102,7 +106,7 @@
         if not jobs:
             self._jobs_by_endpoint.pop(endpoint_id, None)
             self._read_at_s.pop(endpoint_id, None)
-        self.note_change()
+        self.note_change(job)
 
     def note_read(self, endpoint_id: ids.EndpointId, job: Job) -> None:
         """Notes that a job's prompt has been read."""
@@ -111,14 +115,21 @@
         if job.is_help and not job.memory_tokens:
             self.remove(endpoint_id, job)
         else:
-            self.note_change()
+            self.note_change(job)
 
-    def note_change(self) -> None:
+    def note_change(self, job: Job) -> None:
         """Wakes whoever tells others of the jobs."""
         self.changes += 1
+        if job.read_s >= URGENT_READ_S:
+            self.urgent_changes += 1
         self._changed.set()
         self._changed = asyncio.Event()
 
+    async def wait_for_urgent_change(self, urgent_changes: int) -> None:
+        """The same for changes that others should learn of at once."""
+        while self.urgent_changes == urgent_changes:
+            await self._changed.wait()
+
     async def wait_for_change(self, changes: int) -> None:
         """Returns when there are changes beyond those counted so far."""
         while self.changes == changes:
--- a/packages/galenaquay/galenaquay/membership/fleet.py
+++ b/packages/galenaquay/galenaquay/membership/fleet.py
@@ -10,11 +10,18 @@
 import time
 from typing import Final
 
+import xxhash
+
 from .. import ids
 
 LOG: Final = logging.getLogger(__name__)
 # Time without a word after which a member is taken for gone, in seconds.
 SILENT_S: Final = 4.0
+# VMs up to which everybody speaks with everybody; in a larger fleet a VM
+# speaks with its zone and with a few members of other zones.
+MESH_VMS: Final = 16
+# Members of other zones that a VM of a larger fleet speaks with.
+FAR_CONTACTS: Final = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,6 +32,7 @@
     incarnation: ids.Incarnation
     # IP number and port.
     address: str
+    zone: ids.ZoneName
 
 
 @dataclasses.dataclass
@@ -73,6 +81,8 @@
                 known.heard_at_s is None and known.member != member
             ):
                 self._known_by_id[member.vm_id] = _Known(member, None, now_s)
+            else:
+                known.named_at_s = now_s
 
     def leave(self, vm_id: ids.VmId) -> None:
         """Forgets a member that is shutting down."""
@@ -82,7 +92,9 @@
     def _forget_silent(self) -> None:
         oldest_s = self._clock() - SILENT_S
         for vm_id, known in list(self._known_by_id.items()):
-            if max(known.heard_at_s or 0, known.named_at_s) < oldest_s:
+            if known.heard_at_s is not None and known.heard_at_s < oldest_s:
+                known.heard_at_s = None
+            if known.heard_at_s is None and known.named_at_s < oldest_s:
                 del self._known_by_id[vm_id]
                 LOG.info('member silent', extra={'member': vm_id})
 
@@ -95,12 +107,42 @@
             if known.heard_at_s is not None
         ]
 
-    def addresses(self) -> list[str]:
-        """Returns where others may answer, seeds included."""
-        self._forget_silent()
-        known = (k.member.address for k in self._known_by_id.values())
-        return list(dict.fromkeys([*known, *self._seeds]))
-
     def vms(self) -> int:
         """Returns how many VMs there are, this one included."""
-        return 1 + len(self.alive())
+        self._forget_silent()
+        return 1 + len(self._known_by_id)
+
+    def is_mesh(self) -> bool:
+        """Tells whether everybody speaks with everybody."""
+        return self.vms() <= MESH_VMS
+
+    def _distance(self, member: Member) -> int:
+        pair = '/'.join(sorted((self.me.vm_id, member.vm_id)))
+        return xxhash.xxh64_intdigest(pair.encode())
+
+    def contacts(self) -> list[Member]:
+        """Returns the members that this VM speaks with."""
+        self._forget_silent()
+        known = [known.member for known in self._known_by_id.values()]
+        if self.is_mesh():
+            return known
+        far = sorted(
+            (m for m in known if m.zone != self.me.zone), key=self._distance
+        )
+        near = [m for m in known if m.zone == self.me.zone]
+        return near + far[:FAR_CONTACTS]
+
+    def addresses(self) -> list[str]:
+        """Returns where to speak, the seeds among them while needed."""
+        addresses = [member.address for member in self.contacts()]
+        has_far = any(m.zone != self.me.zone for m in self.alive())
+        if self.is_mesh() or not has_far:
+            addresses += self._seeds
+        return list(dict.fromkeys(addresses))
+
+    def rank(self) -> int:
+        """Returns how many members that are near go before this VM."""
+        near = self.alive()
+        if not self.is_mesh():
+            near = [m for m in near if m.zone == self.me.zone]
+        return sum(member.vm_id < self.me.vm_id for member in near)
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -5,6 +5,7 @@
 long prompt on several engines at once shortens both.
 """
 
+from collections.abc import Callable
 import dataclasses
 import math
 import random
@@ -47,8 +48,10 @@
 READ_COST_PER_S: Final = 0.25
 # What each further engine costs, since any of them may fail.
 HELPER_COST: Final = 0.02
-# What another zone costs, for the bytes between zones.
+# What another zone costs, in shares of the value, for the bytes between zones;
+# and where this VM does not hear what the other zones' VMs place there.
 OTHER_ZONE_COST: Final = 0.01
+UNHEARD_ZONE_COST: Final = 0.12
 # Random part of each estimate, so that VMs with the same facts differ.
 NOISE: Final = 0.02
 
@@ -120,7 +123,10 @@
         cold_starts: cold_starts_module.ColdStarts,
         zone: ids.ZoneName,
         rng: random.Random,
+        hears_other_zones: Callable[[], bool],
     ) -> None:
+        # Whether the VMs of other zones tell what they place.
+        self._hears_other_zones = hears_other_zones
         self._directory = directory
         self._workload = workload
         self._reliability = reliability
@@ -165,7 +171,11 @@
         loss = self._reliability.failure_chance(endpoint.id)
         loss += self._rng.uniform(0, NOISE)
         if endpoint.zone != self._zone:
-            loss += OTHER_ZONE_COST
+            loss += (
+                OTHER_ZONE_COST
+                if self._hears_other_zones()
+                else UNHEARD_ZONE_COST
+            )
         return loss
 
     def place_prompt(
