Bound the logs and trace platform requests

Cause: logs were written through a blocking stream, so a reader that stops would have stopped the entry; and trace showed spans only, which this path does not write.

--- a/packages/galenaquay/galenaquay/telemetry.py
+++ b/packages/galenaquay/galenaquay/telemetry.py
@@ -17,6 +17,7 @@
         self._counts: dict[str, int] = {}
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
+        self._gauges: dict[str, float] = {}
 
     def count(self, name: str, **labels: object) -> None:
         """Adds one to a counter."""
@@ -24,6 +25,10 @@
         key = f'{PREFIX}_{name}_total{{{pairs}}}'
         self._counts[key] = self._counts.get(key, 0) + 1
 
+    def gauge(self, name: str, value: float) -> None:
+        """Sets a value that may rise and fall."""
+        self._gauges[f'{PREFIX}_{name}'] = value
+
     def observe(self, name: str, seconds: float) -> None:
         """Adds a duration to a histogram."""
         buckets = self._buckets.setdefault(name, [0] * (len(BOUNDS_S) + 1))
@@ -33,6 +38,7 @@
     def text(self) -> str:
         """Returns all metrics, a line each."""
         lines = [f'{key} {n}' for key, n in sorted(self._counts.items())]
+        lines += [f'{key} {n}' for key, n in sorted(self._gauges.items())]
         for name, buckets in sorted(self._buckets.items()):
             total = 0
             for bound, n in zip([*BOUNDS_S, '+Inf'], buckets, strict=True):
--- a/packages/galenaquayctl/galenaquayctl/traces.py
+++ b/packages/galenaquayctl/galenaquayctl/traces.py
@@ -1,4 +1,8 @@
-"""`galenaquayctl trace`: shows one request's spans as a tree."""
+"""`galenaquayctl trace`: shows what became of one request.
+
+Its spans as a tree, or, where no spans were written, the lines that entries
+logged for it, in the order of time.
+"""
 
 from collections.abc import Iterable
 import dataclasses
@@ -50,18 +54,21 @@
 @click.argument('request_id')
 @click.argument('logs', nargs=-1, type=click.File('rb'), required=True)
 def trace(request_id: str, logs: tuple[IO[bytes], ...]) -> None:
-    """Shows the spans of one request, from entries' logs.
+    """Shows the spans of one request, or its lines, from entries' logs.
 
     Exits with 1 if the logs have none.
     """
-    spans = list(_read_spans(logs))
+    lines = [line for log in logs for line in log]
+    spans = list(_read_spans(lines))
     trace_ids = {
         s.trace_id for s in spans if s.fields.get('request_id') == request_id
     }
     chosen = [s for s in spans if s.trace_id in trace_ids]
     if not chosen:
-        click.echo(f'no spans of request {request_id}', err=True)
-        sys.exit(exits.Exit.NO)
+        if not _show_lines(request_id, lines):
+            click.echo(f'no lines of request {request_id}', err=True)
+            sys.exit(exits.Exit.NO)
+        return
     known = {s.span_id for s in chosen}
     roots = [s for s in chosen if s.parent_id not in known]
     start_ms = min(s.start_ms for s in chosen)
@@ -69,22 +76,37 @@
         _show(root, chosen, start_ms, 0)
 
 
-def _read_spans(logs: Iterable[IO[bytes]]) -> Iterable[Span]:
-    for log in logs:
-        for line in log:
-            if b'"span_id"' not in line:
-                continue
-            fields = orjson.loads(line)
-            yield Span(
-                fields['span_id'],
-                fields['parent_id'],
-                fields['trace_id'],
-                fields['span'],
-                fields['vm'],
-                fields['start_ms'],
-                fields['took_ms'],
-                {k: v for k, v in fields.items() if k not in _KNOWN},
-            )
+def _show_lines(request_id: str, lines: Iterable[bytes]) -> bool:
+    """Shows the lines of a request; returns whether there are any."""
+    wanted = f'"request_id":"{request_id}"'.encode()
+    found = [orjson.loads(line) for line in lines if wanted in line]
+    for fields in sorted(found, key=lambda fields: str(fields['time'])):
+        told = ' '.join(
+            f'{k}={v}'
+            for k, v in fields.items()
+            if k not in _KNOWN and k != 'request_id'
+        )
+        click.echo(
+            f'{fields["time"]} {fields["vm"]} {fields["message"]}: {told}'
+        )
+    return bool(found)
+
+
+def _read_spans(lines: Iterable[bytes]) -> Iterable[Span]:
+    for line in lines:
+        if b'"span_id"' not in line:
+            continue
+        fields = orjson.loads(line)
+        yield Span(
+            fields['span_id'],
+            fields['parent_id'],
+            fields['trace_id'],
+            fields['span'],
+            fields['vm'],
+            fields['start_ms'],
+            fields['took_ms'],
+            {k: v for k, v in fields.items() if k not in _KNOWN},
+        )
 
 
 def _show(span: Span, spans: list[Span], start_ms: float, depth: int) -> None:
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -169,3 +169,11 @@
     When an entry starts while the store turns everybody away
     Then it is not ready and refuses with 503
     And it is ready soon after the store is back
+
+  Scenario: A failed request is followed from its id to its cause
+    Given each service will "close" once
+    When a call is made to "/once/x"
+    Then the trace command tells that its connection was closed
+
+  Scenario: A reader of the log that has stopped stops nothing
+    Then a log to a full pipe drops lines and counts them
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import logging
 import os
 import signal
 import time
@@ -9,8 +10,11 @@
 from behave import given
 from behave import then
 from behave import when
+from click import testing
 
+from galenaquay.adapters import logs
 from galenaquay_standins import sealed_engine
+from galenaquayctl import traces
 from tests import platform_support as support
 
 
@@ -24,6 +28,8 @@
 
 def call(context, target, body=b'{"a":1}', **headers):
     context.body = body
+    context.request_id = os.urandom(8).hex()
+    headers.setdefault('X_Attempt_Id', context.request_id)
     context.answer = run(
         context,
         support.ask(
@@ -647,3 +653,34 @@
         context,
         world(context).wait_until(lambda: world(context).is_ready(1), 2.0),
     )
+
+
+@then('the trace command tells that its connection was closed')
+def step_trace(context):
+    log = world(context).folder / 'vm0.log'
+    result = testing.CliRunner().invoke(
+        traces.trace, [context.request_id, str(log)]
+    )
+    assert result.exit_code == 0, result.output
+    placed, failed, ended = result.output.splitlines()
+    assert 'request placed' in placed
+    assert 'failure=broken' in failed
+    assert 'outcome=failed status=502' in ended
+
+
+@then('a log to a full pipe drops lines and counts them')
+def step_full_pipe(context):
+    reader, writer = os.pipe()
+    handler = logs.LineHandler(writer)
+    handler.setFormatter(logging.Formatter('%(message)s'))
+    line = logging.LogRecord('x', 20, '', 0, 'a' * 999, None, None)
+    for _ in range(200):
+        handler.emit(line)
+    assert handler.dropped > 100
+    # What was taken is whole lines, once the reader goes on.
+    taken = os.read(reader, 1 << 20)
+    handler.emit(line)
+    taken += os.read(reader, 1 << 20)
+    assert set(taken.split(b'\n')) == {b'a' * 999, b''}
+    os.close(reader)
+    os.close(writer)
