--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -19,3 +19,9 @@
 
   Scenario: Memory of a dead process over late renewals
     Then the property "memory_of_dead_late" holds
+
+  Scenario: Only the folder platform/ knows the platform's names
+    Then no module of the product names a header or key of the platform
+
+  Scenario: A request's way goes down through the layers
+    Then no module on the platform's path imports a layer above its own
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -1,10 +1,99 @@
-"""Steps that run the properties of `tests.properties.path_properties`."""
+"""Steps that check what decides on the users' platform, and its layers."""
+
+import ast
+import pathlib
 
 from behave import then
 
+from galenaquay_platform import documents
+from galenaquay_platform import headers
+from galenaquay_platform import orders
+from galenaquay_platform import serve
 from tests.properties import path_properties
 
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+PRODUCT = ROOT / 'packages' / 'galenaquay' / 'galenaquay'
+# From the top down; a module imports only from its own layer and those below.
+LAYERS = (
+    'adapters',
+    'outcomes',
+    'routing',
+    'limits',
+    'membership',
+    'streams',
+    'ports',
+    'engines',
+    'configuration',
+)
+# The product's own interface had this name before the platform came.
+OWN_NAMES = {('adapters/caller_requests.py', headers.TIME_LEFT_MS)}
+PATH_MODULES = (
+    'adapters/exchange_http',
+    'adapters/fleet_grpc',
+    'adapters/forward_front',
+    'outcomes/forwarding',
+    'routing/placement',
+    'routing/reading',
+    'limits/attempt_budget',
+    'limits/cold_starts',
+    'limits/group_memory',
+    'membership/fleet',
+    'streams/event_cutter',
+    'ports/exchange',
+    'ports/reservations',
+    'engines/directory',
+    'engines/reliability',
+    'engines/workload',
+    'configuration/current',
+    'configuration/routes',
+)
+
 
 @then('the property "{name}" holds')
 def step_property(context, name):
     getattr(path_properties, f'check_{name}')()
+
+
+def platform_names():
+    """Returns the names that only the platform's folder may use."""
+    names = {
+        value
+        for value in vars(headers).values()
+        if isinstance(value, str) and value.startswith(('X-', 'At-'))
+    }
+    names |= {documents.CONFIG_KEY, documents.WITHDRAWN_PREFIX}
+    names |= {orders.ORDER_PATH, serve.READY_PATH, 'kv-range', 'kv-watch'}
+    return names
+
+
+@then('no module of the product names a header or key of the platform')
+def step_names(context):
+    names = platform_names()
+    assert len(names) > 12
+    for folder in ('galenaquay', 'galenaquayctl'):
+        for path in (ROOT / 'packages' / folder).rglob('*.py'):
+            text = path.read_text().lower()
+            found = {name for name in names if name.lower() in text}
+            own = {
+                name
+                for file, name in OWN_NAMES
+                if path.as_posix().endswith(file)
+            }
+            assert found <= own, (path, found)
+
+
+def imported_layers(path):
+    """Returns the layers that a module imports from."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.level == 2:
+            if node.module:
+                yield node.module.split('.')[0]
+
+
+@then("no module on the platform's path imports a layer above its own")
+def step_layers(context):
+    for module in PATH_MODULES:
+        own = LAYERS.index(module.split('/')[0])
+        for layer in imported_layers(PRODUCT / f'{module}.py'):
+            if layer in LAYERS:
+                assert LAYERS.index(layer) >= own, (module, layer)
