Wait for a silent engine while shutting down

And members that were leaving were brought back by whoever named them, 60 log lines a second.

Change: a process that shuts down keeps to the engine it has, also where it was already waiting; an answer that has begun is never refused for the shutdown; a leaving process stays forgotten.

Ruled out: the grace; 6 s of it were left.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -170,7 +170,7 @@
         if report.number > self._last_numbers.get(key, 0):
             self._last_numbers[key] = report.number
             if report.leaving:
-                self._fleet.leave(sender.vm_id)
+                self._fleet.leave(sender)
             else:
                 self._fleet.hear(sender)
             self._workload.hear(
--- a/packages/galenaquay/galenaquay/membership/fleet.py
+++ b/packages/galenaquay/galenaquay/membership/fleet.py
@@ -59,10 +59,15 @@
         self._seeds = [seed for seed in seeds if seed != me.address]
         self._clock = clock
         self._known_by_id: dict[ids.VmId, _Known] = {}
+        # The process that was shutting down on a VM, by the VM's id.
+        self._leaving_by_id: dict[ids.VmId, ids.Incarnation] = {}
+
+    def _is_leaving(self, member: Member) -> bool:
+        return self._leaving_by_id.get(member.vm_id) == member.incarnation
 
     def hear(self, member: Member) -> None:
         """Notes that a member has spoken itself."""
-        if member.vm_id == self.me.vm_id:
+        if member.vm_id == self.me.vm_id or self._is_leaving(member):
             return
         now_s = self._clock()
         known = self._known_by_id.get(member.vm_id)
@@ -77,7 +82,7 @@
         """Notes members that another has named."""
         now_s = self._clock()
         for member in members:
-            if member.vm_id == self.me.vm_id:
+            if member.vm_id == self.me.vm_id or self._is_leaving(member):
                 continue
             known = self._known_by_id.get(member.vm_id)
             if known is None or (
@@ -87,10 +92,13 @@
             else:
                 known.named_at_s = now_s
 
-    def leave(self, vm_id: ids.VmId) -> None:
-        """Forgets a member that is shutting down."""
-        if self._known_by_id.pop(vm_id, None) is not None:
-            LOG.info('member leaves', extra={'member': vm_id})
+    def leave(self, member: Member) -> None:
+        """Forgets a member that is shutting down, whoever names it still."""
+        if self._is_leaving(member):
+            return
+        self._leaving_by_id[member.vm_id] = member.incarnation
+        self._known_by_id.pop(member.vm_id, None)
+        LOG.info('member leaves', extra={'member': member.vm_id})
 
     def _forget_silent(self) -> None:
         oldest_s = self._clock() - SILENT_S
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -180,6 +180,10 @@
         )
 
 
+async def _read_next(body: AsyncIterator[bytes]) -> bytes | None:
+    return await anext(body, None)
+
+
 class _Retry(Exception):
     """An attempt has failed; `error` says how."""
 
@@ -242,7 +246,7 @@
         if placement.first_event_s > self._time_left_s():
             await self._give_up('cannot be served in time', 502)
             return True
-        if self._ends_too_late(placement):
+        if not self._reply.is_started and self._ends_too_late(placement):
             await self._give_up('this VM shuts down before its end', 502)
             return True
         jobs = self._take_jobs(placement)
@@ -382,8 +386,10 @@
         return answer
 
     def _has_more_attempts(self) -> bool:
+        # A process that shuts down may not have the time for another.
         return (
             self._route.may_repeat
+            and self._forwarder.ends_at_s == math.inf
             and self._attempts < self._route.max_attempts
         )
 
@@ -484,15 +490,16 @@
             patience_s = max(GAP_MIN_S, self._route.max_gap_s * GAP_FACTOR)
             if not has_begun:
                 patience_s = self._first_patience_s(placement)
+        reading = asyncio.ensure_future(_read_next(body))
         try:
-            async with asyncio.timeout(patience_s):
-                return await anext(body, None)
-        except TimeoutError:
-            if self._time_left_s() <= 0:
-                raise
-            raise _Retry(
-                exchange.SendError(exchange.Failure.SILENT, 'no event')
-            ) from None
+            await asyncio.wait([reading], timeout=patience_s)
+            if not reading.done() and not self._has_more_attempts():
+                await asyncio.wait([reading])
+            if reading.done():
+                return reading.result()
+        finally:
+            reading.cancel()
+        raise _Retry(exchange.SendError(exchange.Failure.SILENT, 'no event'))
 
     def _note_first_event(
         self,
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -16,6 +16,7 @@
       | million_in_time     | A million tokens over 18 engines                  |
       | no_herd             | Eight VMs place long prompts at once              |
       | overload_is_refused | More than the engines can begin in time           |
+      | leaving_stays_gone  | A VM that shuts down while others name it         |
 
   Scenario: Memory of a dead process over late renewals
     Then the property "memory_of_dead_late" holds
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -165,6 +165,12 @@
     And the stream ends whole
     And the entry ends by itself
 
+  Scenario: A shutdown waits for a silent engine
+    Given each engine sends 2 events, one every 2.2 seconds
+    When the entry is told to stop while a stream is written
+    Then the stream ends whole
+    And the engines ran 1 requests
+
   Scenario: An entry that knows nothing yet refuses
     When an entry starts while the store turns everybody away
     Then it is not ready and refuses with 503
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -50,6 +50,14 @@
         engine.event_s = seconds
 
 
+@given('each engine sends {count:d} events, one every {seconds:g} seconds')
+def step_few_events(context, count, seconds):
+    for engine in world(context).engines_by_name.values():
+        if engine.events:
+            engine.events = count
+            engine.event_s = seconds
+
+
 @given('{count:d} more engines')
 def step_more_engines(context, count):
     async def work():
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -455,3 +455,20 @@
     }
     placer, _, _ = world(3, 1, loads)
     assert place(placer, 5_000).first_event_s > 10.0
+
+
+def check_leaving_stays_gone():
+    """A VM that shuts down is not brought back by those who name it."""
+    me = fleet_module.Member('vm-0', 1, 'h:0', 'ba')
+    other = fleet_module.Member('vm-1', 2, 'h:1', 'ba')
+    fleet = fleet_module.Fleet(me, [], lambda: 100.0)
+    fleet.hear(other)
+    assert fleet.alive() == [other]
+    fleet.leave(other)
+    fleet.name([other])
+    fleet.hear(other)
+    assert fleet.alive() == []
+    assert fleet.vms() == 1
+    restarted = fleet_module.Member('vm-1', 3, 'h:1', 'ba')
+    fleet.hear(restarted)
+    assert fleet.alive() == [restarted]
