Try input that is not allowed

Change: eight cases, answered by the entry alone, none reaches a service. Left: a header that trickles in slowly is not cut by headerTimeoutMs.

--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -78,6 +78,22 @@
     Then the answer has status 413
     And the services ran 0 requests
 
+  Scenario Outline: Input that is not allowed is answered by the entry alone
+    When a request with <what> is sent
+    Then the entry answers <status>
+    And the services ran 0 requests
+
+    Examples:
+      | what                | status |
+      | an unknown host     | 404    |
+      | no key              | 401    |
+      | a wrong key         | 401    |
+      | no id               | 400    |
+      | two ids             | 400    |
+      | a target of no path | 400    |
+      | a header of 20000   | 400    |
+      | half a body         | none   |
+
   Scenario: A silent endpoint ends with the route's time
     Given each service will "mute" once
     When a call is made to "/brief/x" and timed
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -247,6 +247,58 @@
     assert world(context).arrivals(support.SERVICE) == []
 
 
+ODD_REQUESTS = {
+    'an unknown host': (
+        '/once/x',
+        'elsewhere',
+        support.KEY,
+        'X-Attempt-Id: 1',
+    ),
+    'no key': ('/once/x', support.HOST, None, 'X-Attempt-Id: 1'),
+    'a wrong key': ('/once/x', support.HOST, 'guess', 'X-Attempt-Id: 1'),
+    'no id': ('/once/x', support.HOST, support.KEY, 'X-Other: 1'),
+    'two ids': (
+        '/once/x',
+        support.HOST,
+        support.KEY,
+        'X-Attempt-Id: 1\r\nX-Attempt-Id: 2',
+    ),
+    'a target of no path': ('*', support.HOST, support.KEY, 'X-Attempt-Id: 1'),
+    'a header of 20000': (
+        '/once/x',
+        support.HOST,
+        support.KEY,
+        f'X-Attempt-Id: 1\r\nX-Long: {"a" * 20000}',
+    ),
+    'half a body': ('/once/x', support.HOST, support.KEY, 'X-Attempt-Id: 1'),
+}
+
+
+@when('a request with {what} is sent')
+def step_odd_request(context, what):
+    target, host, key, fields = ODD_REQUESTS[what]
+    lines = [f'POST {target} HTTP/1.1', f'Host: {host}', fields]
+    if key:
+        lines.append(f'Authorization: Bearer {key}')
+    length = 10 if what == 'half a body' else 5
+    lines += [f'Content-Length: {length}', '', 'abcde']
+    context.raw = run(
+        context,
+        support.send_raw(
+            world(context).front_port(), '\r\n'.join(lines).encode()
+        ),
+    )
+
+
+@then('the entry answers {status}')
+def step_entry_answers(context, status):
+    first = context.raw.split(b'\r\n')[0]
+    if status == 'none':
+        assert first == b'', first
+    else:
+        assert f' {status} '.encode() in first, first
+
+
 @when('a caller leaves a stream after {seconds:g} seconds')
 def step_leave(context, seconds):
     run(
