Keep short prompts together on few engines

Change: every VM orders a zone's engines alike and sends shorts to the first ones, as many as the known requests need; long prompts pay for going there. Nothing is asked of anyone. "request ended" tells the longest pause.

Conclusion: kept; the property "shorts_kept_together" is red without it.

--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -219,6 +219,9 @@
         self._last_event_id = admitted.request.last_event_id
         self._last_number: int | None = None
         self._first_event_s: float | None = None
+        # When the last event came, and the longest pause between two.
+        self._event_at_s: float | None = None
+        self._longest_gap_s = 0.0
 
     def _time_left_s(self) -> float:
         return self._admitted.deadline_s - self._loop.time()
@@ -526,6 +529,12 @@
         if not self._reply.is_started:
             await self._reply.start(head)
         await self._reply.write(event.data)
+        now_s = self._loop.time()
+        if self._event_at_s is not None:
+            self._longest_gap_s = max(
+                self._longest_gap_s, now_s - self._event_at_s
+            )
+        self._event_at_s = now_s
         if event.id is not None:
             self._last_event_id = event.id
             self._last_number = number
@@ -641,6 +650,7 @@
                 'reason': reason,
                 'attempts': self._attempts,
                 'first_event_s': self._first_event_s,
+                'longest_gap_s': round(self._longest_gap_s, 4),
                 'took_s': round(took_s, 4),
             },
         )
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -19,6 +19,7 @@
 from ..limits import cold_starts as cold_starts_module
 from ..ports import exchange
 from . import reading
+from . import short_set
 
 # Engines that may read one prompt together.
 GROUP_SIZES: Final = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
@@ -54,6 +55,12 @@
 # and where this VM does not hear what the other zones' VMs place there.
 OTHER_ZONE_COST: Final = 0.01
 UNHEARD_ZONE_COST: Final = 0.12
+# What it costs to send a short prompt to an engine that long ones are read
+# on, and to read a long one where short ones are kept together.
+OUTSIDE_SET_COST: Final = 0.05
+INSIDE_SET_COST: Final = 2.0
+# What it costs that all slots of an engine are taken.
+CROWD_COST: Final = 0.04
 # Random part of each estimate, so that VMs with the same facts differ.
 NOISE: Final = 0.02
 
@@ -88,6 +95,17 @@
     base_loss: float
     # Memory that nothing is known to hold, in tokens.
     free_tokens: int
+    # Requests that it runs at once.
+    slots: int
+    # Whether short prompts are kept together there.
+    is_for_shorts: bool
+
+    def set_loss(self, is_short: bool) -> float:
+        """Returns what keeping short and long prompts apart costs here."""
+        if is_short:
+            outside = 0.0 if self.is_for_shorts else OUTSIDE_SET_COST
+            return outside + CROWD_COST * self.load.running / self.slots
+        return INSIDE_SET_COST if self.is_for_shorts else 0.0
 
 
 def value_of(prompt_tokens: int) -> float:
@@ -169,6 +187,14 @@
                 best = Placement(endpoint, loss=loss)
         return best
 
+    def _heard_zones(
+        self, endpoints: list[directory_module.Endpoint]
+    ) -> set[ids.ZoneName]:
+        """Returns the zones in which others tell what they place."""
+        if self._hears_other_zones():
+            return {endpoint.zone for endpoint in endpoints}
+        return {self._zone}
+
     def _base_loss(self, endpoint: directory_module.Endpoint) -> float:
         loss = self._reliability.failure_chance(endpoint.id)
         loss += self._rng.uniform(0, NOISE)
@@ -213,7 +239,11 @@
     ) -> list[_Candidate]:
         loads = self._workload.loads()
         found = []
-        for endpoint in self._usable(service, excluded):
+        usable = self._usable(service, excluded)
+        for_shorts = short_set.engines_for_shorts(
+            usable, loads, times.slots, self._heard_zones(usable)
+        )
+        for endpoint in usable:
             load = loads.get(endpoint.id, workload_module.EndpointLoad())
             pace = self._reliability.pace(endpoint.id)
             one_pass_s = reading.pass_s(times, load) * pace
@@ -231,6 +261,8 @@
                     wait_s,
                     self._base_loss(endpoint),
                     times.memory_tokens - load.memory_tokens,
+                    times.slots,
+                    endpoint.id in for_shorts,
                 )
             )
         return found
@@ -245,6 +277,7 @@
         times: routes.EngineTimes,
     ) -> Placement | None:
         value = value_of(request.prompt_tokens)
+        is_short = size == 1 and read_s <= MIN_DIVIDED_READ_S
         needed = request.prompt_tokens + request.answer_tokens
         part_tokens = 0
         held_alone_tokens = times.memory_tokens
@@ -272,6 +305,7 @@
                 _gap_loss(gap_s, candidate.load)
                 + value * _wait_loss(first_s, route.target_s)
                 + value * candidate.base_loss
+                + candidate.set_loss(is_short)
                 + PUT_OFF_LOSS * own_read_s * candidate.load.read_urgency
             )
 
@@ -297,6 +331,7 @@
                 candidate.load.read_s + read_s
             ) * candidate.pace + candidate.pass_s
             loss += _gap_loss(gap_s, candidate.load)
+            loss += candidate.set_loss(is_short)
         loss += value * chosen[0].base_loss
         for candidate in chosen[1:]:
             loss += value * candidate.base_loss * HELPER_RISK
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -13,6 +13,7 @@
       | budget              | Further attempts of eight VMs                     |
       | short_avoids_long   | Short prompts beside long ones                    |
       | long_spares_writers | Long prompts beside answers that are written      |
+      | shorts_kept_together | Short prompts of VMs that hear each other late   |
       | million_in_time     | A million tokens over 18 engines                  |
       | no_herd             | Eight VMs place long prompts at once              |
       | overload_is_refused | More than the engines can begin in time           |
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -44,13 +44,13 @@
 )
 
 
-def engine(i):
+def engine(i, zone='ba'):
     return directory_module.Endpoint(
         ids.EndpointId(f'e{i}'),
         POOL,
         '127.0.0.1',
         i,
-        ids.ZoneName('ba'),
+        ids.ZoneName(zone),
         8,
         directory_module.EndpointState.READY,
     )
@@ -362,12 +362,12 @@
         assert repeats * vms <= ratio * requests * vms + slack
 
 
-def world(engines, seed, loads=None):
+def world(engines, seed, loads=None, zones=('ba',)):
     """Returns a placer that knows of engines and of others' loads."""
     now_s = 1000.0
     directory = directory_module.Directory(lambda: now_s)
     for i in range(engines):
-        directory.put(engine(i))
+        directory.put(engine(i, zones[i % len(zones)]))
     workload = workload_module.Workload(lambda: now_s)
     workload.hear(ids.VmId('other'), loads or {}, 2.0)
     placer = placement.Placer(
@@ -453,6 +453,46 @@
         assert used <= {'e4', 'e5', 'e6', 'e7'}, used
 
 
+def check_shorts_kept_together():
+    """Long prompts find engines that no short prompt has just gone to.
+
+    Eight VMs place 40 short prompts and tell each other of them only now and
+    then; a long one is placed by a VM that has not heard the last ones.
+    """
+    used_by_shorts = set()
+    for seed in range(10):
+        vms = [
+            world(18, seed * 8 + i, zones=('ba', 'lautoka', 'nadi'))
+            for i in range(8)
+        ]
+        at_endpoint = set()
+        for number in range(40):
+            placer, workload, _ = vms[number % 8]
+            placed = place(placer, 5_000)
+            at_endpoint.add(placed.endpoint.id)
+            job = workload_module.Job(
+                placed.read_s, 5_800, 0.2, 1.5, 0.3, 1000.0, is_reading=False
+            )
+            workload.add(placed.endpoint.id, job)
+            if number % 12 == 11:
+                tell_all(vms)
+        for placer, _, _ in vms:
+            placed = place(placer, 210_000, 3.0, 0.8)
+            used = {placed.endpoint.id, *(h.id for h in placed.helpers)}
+            assert not used & at_endpoint, (used, at_endpoint)
+            assert placed.first_event_s < 3.0
+        used_by_shorts.add(len(at_endpoint))
+    assert max(used_by_shorts) <= 12, used_by_shorts
+
+
+def tell_all(vms):
+    """Has every VM tell all others what it has placed."""
+    for _, workload, _ in vms:
+        for _, other, _ in vms:
+            if other is not workload:
+                other.hear(workload, workload.own_loads(), 2.0)
+
+
 def check_million_in_time():
     """A million tokens go to enough engines to be in time, none too full."""
     for seed in range(20):
@@ -476,9 +516,7 @@
                     placed.read_s, 40_800, 0.5, 5.0, 1.5, 1000.0
                 )
                 workload.add(endpoint.id, job)
-            for _, other, _ in vms:
-                if other is not workload:
-                    other.hear(workload, workload.own_loads(), 2.0)
+            tell_all(vms)
         assert len(set(used)) == 8, used
 
 
