--- a/packages/galenaquay/galenaquay/configuration/current.py
+++ b/packages/galenaquay/galenaquay/configuration/current.py
@@ -22,8 +22,6 @@
     """The route table in force and the age of its confirmation."""
 
     table: routes_module.RouteTable | None
-    # Newest version that others have in force, as far as was heard.
-    newest_heard: int
 
     def __init__(
         self,
@@ -31,7 +29,6 @@
         clock: Callable[[], float] = clocks.boot_s,
     ) -> None:
         self.table = None
-        self.newest_heard = 0
         self._lease_s = revoke_s * KEY_LEASE_SHARE
         self._clock = clock
         self._confirmed_at_s: float | None = None
@@ -72,16 +69,10 @@
             confirmed_at_s: When it was known to be the newest, on this VM's
                 clock and no later than it really was; None if never.
         """
-        self.newest_heard = max(self.newest_heard, version)
         is_same = self.table is not None and self.table.version == version
         if is_same and confirmed_at_s is not None:
             self.confirm(confirmed_at_s)
 
-    def is_behind(self) -> bool:
-        """Tells whether another VM has a newer version in force."""
-        version = self.table.version if self.table is not None else 0
-        return version < self.newest_heard
-
     def age_s(self) -> float | None:
         """Returns the time since the last confirmation, in seconds."""
         if self._confirmed_at_s is None:
