Tell a zone's sums through its hubs

Change: in a fleet of more than 16 VMs each tells two hubs of its zone, by rank, three times a second, and learns from their replies the sums of all others; hubs tell those of other zones their zone's sums. Members are named with the time since they were heard from. The set of engines for shorts has at least 0.3 of all. What other zones place is known now, so its cost goes.

Ruled out: reporting more often to all (28 messages each 0.3 s). Naming members without their age kept two dead hubs for ever; the new property of sixty VMs found that.

Property "zone_sums": every VM knows each job once, also after both hubs of a zone have died.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -1,11 +1,13 @@
 """Tells other VMs over gRPC what this one has placed where, and hears them.
 
 There is one task for each address; it speaks when something has changed and
-else now and then. The more VMs there are, the more seldom each speaks, so that
-what one VM sends does not grow with the fleet.
+else now and then. In a large fleet a VM speaks with the hubs of its zone only
+and learns from their replies what all others have placed, so that what one VM
+sends does not grow with the fleet.
 """
 
 import asyncio
+from collections.abc import Iterable
 import contextlib
 import logging
 import math
@@ -38,9 +40,14 @@
 # where nothing has changed but short prompts and plain calls.
 MIN_INTERVAL_S: Final = 0.05
 # Reports that one VM sends in a second, to all members together, beside those
-# on large changes: where everybody speaks with everybody, and in larger fleets.
+# on large changes, where everybody speaks with everybody.
 MESH_REPORTS_PER_S: Final = 40.0
-REPORTS_PER_S: Final = 8.0
+# Time between two reports to a hub, in seconds.
+HUB_INTERVAL_S: Final = 0.33
+# Of so many reports in a row, the replies of hubs to the first ones name the
+# members that there are; a VM numbers its reports to all hubs together.
+NAMING_REPLIES: Final = 8
+NAMING_RUN: Final = 3
 # Time before speaking again to an address that has not answered, in seconds.
 RETRY_INTERVAL_S: Final = 0.5
 # Time between two looks at which addresses there are, in seconds.
@@ -94,8 +101,9 @@
                 self._tasks_by_address.pop(address).cancel()
 
     def _interval_s(self) -> float:
-        per_s = MESH_REPORTS_PER_S if self._fleet.is_mesh() else REPORTS_PER_S
-        return len(self._tasks_by_address) / per_s
+        if self._fleet.is_mesh():
+            return len(self._tasks_by_address) / MESH_REPORTS_PER_S
+        return HUB_INTERVAL_S
 
     async def _speak(self, address: str) -> None:
         """Sends reports to one address for as long as it is known."""
@@ -113,7 +121,10 @@
                     continue
                 await asyncio.sleep(MIN_INTERVAL_S)
                 await self._wait_for_urgent(urgent, self._interval_s())
-                if self._workload.urgent_changes == urgent:
+                # A hub is asked also when there is nothing to tell it.
+                if self._fleet.is_mesh() and (
+                    self._workload.urgent_changes == urgent
+                ):
                     await self._wait_for_change(changes)
         finally:
             channel.close()
@@ -136,7 +147,7 @@
         try:
             async with asyncio.timeout(ANSWER_S):
                 reply = await fleet_grpc.FleetStub(channel).Report(
-                    self._own_report()
+                    self.own_report()
                 )
         except (
             OSError,
@@ -147,8 +158,18 @@
         ) as exc:
             LOG.debug('member did not answer: %s', exc)
             return False
-        self._fleet.hear(_member_of(reply.sender))
-        self._fleet.name(map(_member_of, reply.members))
+        self.take_reply(reply, asked_at_s)
+        return True
+
+    def take_reply(
+        self, reply: fleet_pb2.LoadReply, asked_at_s: float
+    ) -> None:
+        """Takes over what one who was told has answered."""
+        sender = _member_of(reply.sender)
+        self._fleet.hear(sender)
+        if not self._fleet.is_mesh():
+            self._take_zone_loads(sender, reply)
+        self._fleet.name(map(_named_of, reply.members))
         confirmed_at_s = None
         if reply.confirmed_age_ms_plus_one:
             # The age was told after this VM had asked, so the time that the
@@ -156,9 +177,35 @@
             age_ms = reply.confirmed_age_ms_plus_one - 1
             confirmed_at_s = asked_at_s - age_ms / _MS
         self._current.hear(reply.config_version, confirmed_at_s)
-        return True
 
-    def _own_report(self) -> fleet_pb2.LoadReport:
+    def _take_zone_loads(
+        self, hub: fleet_module.Member, reply: fleet_pb2.LoadReply
+    ) -> None:
+        # A hub has heard its own zone from each VM itself.
+        if hub.zone == self._fleet.me.zone and self._fleet.is_hub():
+            return
+        self._workload.hear(
+            _key_of_zone(hub.zone), _loads_of(reply.loads), self._valid_s()
+        )
+
+    def _valid_s(self) -> float:
+        """Returns for how long what was told counts, in seconds."""
+        return MISSED_REPORTS * max(IDLE_INTERVAL_S, self._interval_s())
+
+    def _loads_for(
+        self, member: fleet_module.Member
+    ) -> dict[ids.EndpointId, workload_module.EndpointLoad]:
+        """Returns what a hub tells one who asks."""
+        if self._fleet.is_mesh():
+            return {}
+        left_out = {member.vm_id, _key_of_zone(self._fleet.me.zone)}
+        if member.zone != self._fleet.me.zone:
+            # Hubs of other zones are told of this zone alone.
+            left_out.update(map(_key_of_zone, self._fleet.zones()))
+        return self._workload.loads_but_of(left_out)
+
+    def own_report(self) -> fleet_pb2.LoadReport:
+        """Returns what this VM tells others."""
         self._number += 1
         return fleet_pb2.LoadReport(
             sender=_message_of(self._fleet.me),
@@ -186,26 +233,26 @@
                 self._fleet.leave(sender)
             else:
                 self._fleet.hear(sender)
-            valid_s = MISSED_REPORTS * max(IDLE_INTERVAL_S, self._interval_s())
-            self._workload.hear(
-                sender.vm_id,
-                {
-                    ids.EndpointId(load.endpoint_id): _load_of(load)
-                    for load in report.loads
-                },
-                valid_s,
-            )
+            # What other zones have placed is told by their hubs' replies.
+            if self._fleet.is_mesh() or sender.zone == self._fleet.me.zone:
+                self._workload.hear(
+                    sender.vm_id, _loads_of(report.loads), self._valid_s()
+                )
             self._orphans.hear(
                 sender.vm_id,
                 sender.incarnation,
                 map(_claim_of, report.reservations),
-                valid_s,
+                self._valid_s(),
             )
         table = self._current.table
         age_s = self._current.age_s()
         return fleet_pb2.LoadReply(
             sender=_message_of(self._fleet.me),
-            members=map(_message_of, self._fleet.alive()),
+            members=map(_naming_of, self._named_in(report.number)),
+            loads=[
+                _load_message(endpoint_id, load)
+                for endpoint_id, load in self._loads_for(sender).items()
+            ],
             config_version=table.version if table is not None else 0,
             confirmed_age_ms_plus_one=(
                 0 if age_s is None else math.ceil(age_s * _MS) + 1
@@ -213,6 +260,13 @@
         )
 
 
+    def _named_in(self, number: int) -> list[fleet_module.Named]:
+        """Returns the members that the reply to a report names."""
+        if self._fleet.is_mesh() or number % NAMING_REPLIES < NAMING_RUN:
+            return self._fleet.named()
+        return []
+
+
 class FleetServer(fleet_grpc.FleetBase):
     """Answers other VMs."""
 
@@ -228,6 +282,20 @@
             await stream.send_message(self._reports.take(report))
 
 
+def _key_of_zone(zone: ids.ZoneName) -> ids.VmId:
+    """Returns the name under which a zone's sums are kept."""
+    return ids.VmId(f'zone {zone}')
+
+
+def _loads_of(
+    messages: Iterable[fleet_pb2.EndpointLoad],
+) -> dict[ids.EndpointId, workload_module.EndpointLoad]:
+    return {
+        ids.EndpointId(message.endpoint_id): _load_of(message)
+        for message in messages
+    }
+
+
 def _claim_of(message: fleet_pb2.Reservation) -> orphaned_memory.Claim:
     return orphaned_memory.Claim(
         ids.EndpointId(message.endpoint_id),
@@ -253,6 +321,16 @@
     )
 
 
+def _named_of(message: fleet_pb2.Member) -> fleet_module.Named:
+    return fleet_module.Named(_member_of(message), message.silent_ms / _MS)
+
+
+def _naming_of(named: fleet_module.Named) -> fleet_pb2.Member:
+    message = _message_of(named.member)
+    message.silent_ms = int(named.silent_s * _MS)
+    return message
+
+
 def _load_message(
     endpoint_id: ids.EndpointId, load: workload_module.EndpointLoad
 ) -> fleet_pb2.EndpointLoad:
--- a/packages/galenaquay/galenaquay/engines/workload.py
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 import dataclasses
 import time
 from typing import Final
@@ -162,13 +162,15 @@
             for endpoint_id, jobs in self._jobs_by_endpoint.items()
         }
 
-    def loads(self) -> dict[ids.EndpointId, EndpointLoad]:
-        """Returns the sums over everybody's jobs."""
+    def loads_but_of(
+        self, left_out: Container[ids.VmId]
+    ) -> dict[ids.EndpointId, EndpointLoad]:
+        """Returns the sums over all jobs but those that some have told."""
         now_s = self._clock()
         merged = self.own_loads()
-        for heard_at_s, valid_s, loads in self._loads_by_peer.values():
+        for peer, (heard_at_s, valid_s, loads) in self._loads_by_peer.items():
             age_s = now_s - heard_at_s
-            if age_s > valid_s:
+            if age_s > valid_s or peer in left_out:
                 continue
             for endpoint_id, load in loads.items():
                 merged[endpoint_id] = merge(
@@ -177,6 +179,12 @@
                         load, read_s=max(0.0, load.read_s - age_s)
                     ),
                 )
+        return merged
+
+    def loads(self) -> dict[ids.EndpointId, EndpointLoad]:
+        """Returns the sums over everybody's jobs."""
+        now_s = self._clock()
+        merged = self.loads_but_of(())
         for endpoint_id, (at_s, running) in self._hints.items():
             load = merged.get(endpoint_id, EndpointLoad())
             if now_s - at_s < HINT_AGE_S and running > load.running:
--- a/packages/galenaquay/galenaquay/membership/fleet.py
+++ b/packages/galenaquay/galenaquay/membership/fleet.py
@@ -10,8 +10,6 @@
 import time
 from typing import Final
 
-import xxhash
-
 from .. import ids
 from . import ranks
 
@@ -19,10 +17,10 @@
 # Time without a word after which a member is taken for gone, in seconds.
 SILENT_S: Final = 9.0
 # VMs up to which everybody speaks with everybody; in a larger fleet a VM
-# speaks with its zone and with a few members of other zones.
+# speaks with the hubs of its zone, and hubs speak with those of other zones.
 MESH_VMS: Final = 16
-# Members of other zones that a VM of a larger fleet speaks with.
-FAR_CONTACTS: Final = 3
+# Hubs of each zone.
+HUBS: Final = 2
 # VMs of a zone that hold a duty which is shared among a few.
 DUTY_VMS: Final = 4
 
@@ -38,12 +36,22 @@
     zone: ids.ZoneName
 
 
+@dataclasses.dataclass(frozen=True)
+class Named:
+    """A member that another VM knows of."""
+
+    member: Member
+    # Time since anybody has heard from it, in seconds.
+    silent_s: float
+
+
 @dataclasses.dataclass
 class _Known:
     member: Member
-    # When it was last heard from; None if it was only named by others.
+    # When it last spoke to this VM; None if it was only named by others.
     heard_at_s: float | None
-    named_at_s: float
+    # When it was last heard from by anybody, as far as others have told.
+    alive_at_s: float
 
 
 class Fleet:
@@ -78,19 +86,27 @@
             )
         self._known_by_id[member.vm_id] = _Known(member, now_s, now_s)
 
-    def name(self, members: Iterable[Member]) -> None:
-        """Notes members that another has named."""
+    def name(self, named: Iterable[Named]) -> None:
+        """Notes members that another has named.
+
+        What counts is when somebody heard from a member itself, so that VMs
+        which name it to each other do not keep it for ever.
+        """
         now_s = self._clock()
-        for member in members:
+        for one in named:
+            member, alive_at_s = one.member, now_s - one.silent_s
             if member.vm_id == self.me.vm_id or self._is_leaving(member):
                 continue
             known = self._known_by_id.get(member.vm_id)
             if known is None or (
-                known.heard_at_s is None and known.member != member
+                known.heard_at_s is None
+                and known.member != member
+                and known.alive_at_s < alive_at_s
             ):
-                self._known_by_id[member.vm_id] = _Known(member, None, now_s)
-            else:
-                known.named_at_s = now_s
+                known = _Known(member, None, alive_at_s)
+                self._known_by_id[member.vm_id] = known
+            if known.member == member:
+                known.alive_at_s = max(known.alive_at_s, alive_at_s)
 
     def leave(self, member: Member) -> None:
         """Forgets a member that is shutting down, whoever names it still."""
@@ -105,7 +121,7 @@
         for vm_id, known in list(self._known_by_id.items()):
             if known.heard_at_s is not None and known.heard_at_s < oldest_s:
                 known.heard_at_s = None
-            if known.heard_at_s is None and known.named_at_s < oldest_s:
+            if known.heard_at_s is None and known.alive_at_s < oldest_s:
                 del self._known_by_id[vm_id]
                 LOG.info('member silent', extra={'member': vm_id})
 
@@ -118,6 +134,19 @@
             if known.heard_at_s is not None
         ]
 
+    def known(self) -> list[Member]:
+        """Returns all members, those that others have named among them."""
+        return [named.member for named in self.named()]
+
+    def named(self) -> list[Named]:
+        """Returns all members with the time since they were heard from."""
+        self._forget_silent()
+        now_s = self._clock()
+        return [
+            Named(known.member, max(0.0, now_s - known.alive_at_s))
+            for known in self._known_by_id.values()
+        ]
+
     def vms(self) -> int:
         """Returns how many VMs there are, this one included."""
         self._forget_silent()
@@ -127,41 +156,54 @@
         """Tells whether everybody speaks with everybody."""
         return self.vms() <= MESH_VMS
 
-    def _distance(self, member: Member) -> int:
-        pair = '/'.join(sorted((self.me.vm_id, member.vm_id)))
-        return xxhash.xxh64_intdigest(pair.encode())
+    def hubs(self, zone: ids.ZoneName) -> list[Member]:
+        """Returns the members that collect what a zone's VMs tell."""
+        members_by_id = {
+            known.member.vm_id: known.member
+            for known in self._known_by_id.values()
+            if known.member.zone == zone
+        }
+        if zone == self.me.zone:
+            members_by_id[self.me.vm_id] = self.me
+        first = ranks.rank_vms(f'hub/{zone}', members_by_id, HUBS)
+        return [members_by_id[vm_id] for vm_id in first]
+
+    def zones(self) -> set[ids.ZoneName]:
+        """Returns all zones that have members."""
+        known = {k.member.zone for k in self._known_by_id.values()}
+        return known | {self.me.zone}
+
+    def is_hub(self) -> bool:
+        """Tells whether this VM collects what its zone's VMs tell."""
+        return self.me in self.hubs(self.me.zone)
 
     def contacts(self) -> list[Member]:
         """Returns the members that this VM speaks with."""
-        self._forget_silent()
-        known = [known.member for known in self._known_by_id.values()]
         if self.is_mesh():
-            return known
-        far = sorted(
-            (m for m in known if m.zone != self.me.zone), key=self._distance
-        )
-        near = [m for m in known if m.zone == self.me.zone]
-        return near + far[:FAR_CONTACTS]
+            return self.known()
+        zones = self.zones() if self.is_hub() else {self.me.zone}
+        contacts = [hub for zone in sorted(zones) for hub in self.hubs(zone)]
+        return [member for member in contacts if member != self.me]
 
     def addresses(self) -> list[str]:
         """Returns where to speak, the seeds among them while needed."""
         addresses = [member.address for member in self.contacts()]
-        has_far = any(m.zone != self.me.zone for m in self.alive())
+        has_far = any(
+            known.member.zone != self.me.zone
+            for known in self._known_by_id.values()
+        )
         if self.is_mesh() or not has_far:
             addresses += self._seeds
         return list(dict.fromkeys(addresses))
 
-    def rank(self) -> int:
-        """Returns how many members that are near go before this VM."""
-        near = self.alive()
-        if not self.is_mesh():
-            near = [m for m in near if m.zone == self.me.zone]
-        return sum(member.vm_id < self.me.vm_id for member in near)
+    def neighbours(self) -> list[Member]:
+        """Returns the members of this VM's zone."""
+        return [m for m in self.known() if m.zone == self.me.zone]
 
     def holds_duty(self, duty: str) -> bool:
         """Tells whether this VM is one of the few of its zone for a duty."""
         if self.is_mesh():
             return True
-        near = [m.vm_id for m in self.alive() if m.zone == self.me.zone]
+        near = [member.vm_id for member in self.neighbours()]
         holders = ranks.rank_vms(duty, [*near, self.me.vm_id], DUTY_VMS)
         return self.me.vm_id in holders
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -5,7 +5,6 @@
 long prompt on several engines at once shortens both.
 """
 
-from collections.abc import Callable
 import dataclasses
 import math
 import random
@@ -51,10 +50,8 @@
 # if it were alone: the prompt is then read again, in time more often than not.
 HELPER_COST: Final = 0.02
 HELPER_RISK: Final = 0.3
-# What another zone costs, in shares of the value, for the bytes between zones;
-# and where this VM does not hear what the other zones' VMs place there.
+# What another zone costs, in shares of the value, for the bytes between zones.
 OTHER_ZONE_COST: Final = 0.01
-UNHEARD_ZONE_COST: Final = 0.12
 # What it costs to send a short prompt to an engine that long ones are read
 # on, and to read a long one where short ones are kept together.
 OUTSIDE_SET_COST: Final = 0.05
@@ -143,10 +140,7 @@
         cold_starts: cold_starts_module.ColdStarts,
         zone: ids.ZoneName,
         rng: random.Random,
-        hears_other_zones: Callable[[], bool],
     ) -> None:
-        # Whether the VMs of other zones tell what they place.
-        self._hears_other_zones = hears_other_zones
         self._directory = directory
         self._workload = workload
         self._reliability = reliability
@@ -187,23 +181,11 @@
                 best = Placement(endpoint, loss=loss)
         return best
 
-    def _heard_zones(
-        self, endpoints: list[directory_module.Endpoint]
-    ) -> set[ids.ZoneName]:
-        """Returns the zones in which others tell what they place."""
-        if self._hears_other_zones():
-            return {endpoint.zone for endpoint in endpoints}
-        return {self._zone}
-
     def _base_loss(self, endpoint: directory_module.Endpoint) -> float:
         loss = self._reliability.failure_chance(endpoint.id)
         loss += self._rng.uniform(0, NOISE)
         if endpoint.zone != self._zone:
-            loss += (
-                OTHER_ZONE_COST
-                if self._hears_other_zones()
-                else UNHEARD_ZONE_COST
-            )
+            loss += OTHER_ZONE_COST
         return loss
 
     def place_prompt(
@@ -240,9 +222,7 @@
         loads = self._workload.loads()
         found = []
         usable = self._usable(service, excluded)
-        for_shorts = short_set.engines_for_shorts(
-            usable, loads, times.slots, self._heard_zones(usable)
-        )
+        for_shorts = short_set.engines_for_shorts(usable, loads, times.slots)
         for endpoint in usable:
             load = loads.get(endpoint.id, workload_module.EndpointLoad())
             pace = self._reliability.pace(endpoint.id)
--- a/packages/galenaquay/galenaquay/routing/short_set.py
+++ b/packages/galenaquay/galenaquay/routing/short_set.py
@@ -7,7 +7,7 @@
 that are known to run there.
 """
 
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 import math
 from typing import Final
 
@@ -20,7 +20,8 @@
 _NO_LOAD: Final = workload.EndpointLoad()
 # Share of their slots that requests take on the engines of the set.
 FILL_SHARE: Final = 0.7
-# Share of all engines that the set takes at most.
+# Share of all engines that the set takes at least and at most.
+MIN_SHARE: Final = 0.3
 MAX_SHARE: Final = 0.67
 
 
@@ -32,7 +33,6 @@
     endpoints: Iterable[directory.Endpoint],
     loads: Mapping[ids.EndpointId, workload.EndpointLoad],
     slots: int,
-    heard_zones: Container[ids.ZoneName],
 ) -> frozenset[ids.EndpointId]:
     """Returns the engines that short prompts go to first, in every zone.
 
@@ -40,19 +40,17 @@
         endpoints: The engines that may receive requests.
         loads: What is known to run on them.
         slots: Requests that an engine runs at once.
-        heard_zones: Zones whose engines' loads are known.
     """
     endpoints_by_zone: dict[ids.ZoneName, list[directory.Endpoint]] = {}
-    running, heard = 0, 0
+    running, engines = 0, 0
     for endpoint in endpoints:
         endpoints_by_zone.setdefault(endpoint.zone, []).append(endpoint)
-        if endpoint.zone in heard_zones:
-            heard += 1
-            running += loads.get(endpoint.id, _NO_LOAD).running
-    if not heard:
+        engines += 1
+        running += loads.get(endpoint.id, _NO_LOAD).running
+    if not engines:
         return frozenset()
     needed = (running + 1) / (slots * FILL_SHARE)
-    share = min(MAX_SHARE, needed / heard)
+    share = min(MAX_SHARE, max(MIN_SHARE, needed / engines))
     chosen: set[ids.EndpointId] = set()
     zones = sorted(endpoints_by_zone)
     for number, zone in enumerate(zones):
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -9,11 +9,13 @@
       | memory_of_dead      | Memory of a process that has died                 |
       | events              | Events come whole wherever they are cut           |
       | keys                | Keys on a VM that is cut off or suspended         |
+      | documents           | Documents that two VMs pass on to a third          |
       | cold                | Cold endpoints before 1 to 100 VMs                |
       | budget              | Further attempts of eight VMs                     |
       | short_avoids_long   | Short prompts beside long ones                    |
       | long_spares_writers | Long prompts beside answers that are written      |
       | shorts_kept_together | Short prompts of VMs that hear each other late   |
+      | zone_sums           | Sixty VMs tell their hubs what they have placed    |
       | million_in_time     | A million tokens over 18 engines                  |
       | no_herd             | Eight VMs place long prompts at once              |
       | overload_is_refused | More than the engines can begin in time           |
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 
+from galenaquay.adapters import fleet_grpc
 from galenaquay.configuration import current as current_module
+from galenaquay.configuration import mirror as mirror_module
 from galenaquay.configuration import routes
 from galenaquay.engines import directory as directory_module
 from galenaquay.engines import reliability
@@ -302,6 +304,88 @@
         assert current.table.version == 2
 
 
+class Seen:
+    """Takes a copy's changes as those do who read what documents say."""
+
+    def __init__(self):
+        self.revision_by_key = {}
+
+    def take_all(self, documents):
+        self.revision_by_key = {d.key: d.revision for d in documents}
+
+    def take(self, change):
+        if change.document is None:
+            self.revision_by_key.pop(change.key, None)
+        else:
+            known = self.revision_by_key.get(change.key, 0)
+            assert known < change.revision
+            self.revision_by_key[change.key] = change.revision
+
+
+DOCUMENT_STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just('write'), st.sampled_from('abc'), st.booleans()),
+        st.tuples(st.just('watch'), st.integers(0, 1), st.booleans()),
+        st.tuples(st.just('ask'), st.integers(0, 1), st.booleans()),
+    ),
+    max_size=40,
+)
+
+
+@RUNS
+@given(DOCUMENT_STEPS)
+def check_documents(steps):
+    """A copy that is passed on by two VMs never goes back, and is whole.
+
+    Both follow the platform, each as late as it likes; some reads are whole
+    ones, as after a loss of history. A third asks now one, now the other.
+    """
+    events, truth, revision = [], {}, 1
+    leaders = [mirror_module.Mirror(), mirror_module.Mirror()]
+    seen = Seen()
+    third = mirror_module.Mirror([seen])
+
+    def read(leader, is_whole):
+        if is_whole or not leader.revision:
+            leader.replace_all(list(truth.values()), revision)
+            return
+        # What was known already comes again, as after a read in pages.
+        news = [e for e in events if e.revision > leader.revision - 2]
+        leader.apply(news, revision)
+
+    def ask(leader):
+        update = leader.since(third.revision)
+        before = third.revision
+        if update.is_whole:
+            third.replace_all(
+                [c.document for c in update.changes], update.revision
+            )
+        else:
+            third.apply(update.changes, update.revision)
+        assert third.revision >= before
+
+    for step, which, flag in steps:
+        if step == 'write':
+            revision += 1
+            document = None
+            if flag:
+                document = mirror_module.Document(which, b'', revision)
+                truth[which] = document
+            elif truth.pop(which, None) is None:
+                continue
+            events.append(mirror_module.Change(which, revision, document))
+        elif step == 'watch':
+            read(leaders[which], flag)
+        elif leaders[which].revision:
+            ask(leaders[which])
+    for leader in leaders:
+        read(leader, is_whole=False)
+        ask(leader)
+        assert leader.documents_by_key == truth
+    assert third.documents_by_key == truth
+    assert seen.revision_by_key == {k: d.revision for k, d in truth.items()}
+
+
 @RUNS
 @given(
     st.integers(1, 100),
@@ -377,7 +461,6 @@
         cold_starts.ColdStarts(clock=lambda: now_s),
         ids.ZoneName('ba'),
         random.Random(seed),
-        lambda: True,
     )
     return placer, workload, directory
 
@@ -530,6 +613,80 @@
     assert place(placer, 5_000).first_event_s > 10.0
 
 
+class ReportingVm:
+    """One VM that tells others what it has placed, without a network."""
+
+    def __init__(self, number, zone, clock):
+        self.me = fleet_module.Member(
+            ids.VmId(f'vm-{number:02}'), number + 1, f'h:{number}', zone
+        )
+        self.fleet = fleet_module.Fleet(self.me, ['h:0', 'h:1'], clock)
+        self.workload = workload_module.Workload(clock)
+        engines = LossyEngines(None, [])
+        directory = directory_module.Directory(clock)
+        self.reports = fleet_grpc.FleetReports(
+            self.fleet,
+            self.workload,
+            cold_starts.ColdStarts(clock=clock),
+            current_module.Current(REVOKE_S, clock),
+            group_memory.GroupMemory(engines),
+            orphaned_memory.OrphanedMemory(
+                self.me.vm_id, engines, directory, clock
+            ),
+        )
+
+
+def check_zone_sums():
+    """VMs of a large fleet learn all that is placed, each job once."""
+    now_s = 100.0
+    zones = ['ba', 'lautoka', 'nadi', 'suva']
+    vms = [ReportingVm(i, zones[i % 4], lambda: now_s) for i in range(60)]
+    vm_by_address = {vm.me.address: vm for vm in vms}
+    rng = random.Random(7)
+    expected = {}
+
+    def play(rounds):
+        nonlocal now_s
+        for _ in range(rounds):
+            for vm in rng.sample(vms, len(vms)):
+                for address in vm.fleet.addresses():
+                    asked = vm_by_address.get(address)
+                    if asked is not None and asked is not vm:
+                        reply = asked.reports.take(vm.reports.own_report())
+                        vm.reports.take_reply(reply, now_s)
+            now_s += 0.33
+
+    play(20)
+    for vm in vms:
+        for _ in range(rng.randrange(4)):
+            endpoint_id = f'e{rng.randrange(20)}'
+            job = workload_module.Job(
+                0.1, 1000, 0.2, 1.0, 0.3, now_s, is_reading=False
+            )
+            vm.workload.add(endpoint_id, job)
+            expected[endpoint_id] = expected.get(endpoint_id, 0) + 1
+    # From a VM to its hub, to the other zone's hub, to that zone's VMs.
+    play(4)
+    for vm in vms:
+        assert vm.fleet.vms() == 60
+        assert len(vm.fleet.addresses()) <= 2 * len(zones)
+        found = {k: load.running for k, load in vm.workload.loads().items()}
+        assert found == expected, (vm.me.vm_id, found)
+    # Both hubs of a zone die; others take over, nothing is counted twice.
+    dead = [vm_by_address[hub.address] for hub in vms[0].fleet.hubs('ba')]
+    for vm in dead:
+        vms.remove(vm)
+        del vm_by_address[vm.me.address]
+        for endpoint_id, load in vm.workload.own_loads().items():
+            expected[endpoint_id] -= load.running
+    play(80)
+    expected = {k: count for k, count in expected.items() if count}
+    for vm in vms:
+        assert vm.fleet.vms() == 58, vm.fleet.vms()
+        found = {k: load.running for k, load in vm.workload.loads().items()}
+        assert found == expected, (vm.me.vm_id, found, expected)
+
+
 def check_leaving_stays_gone():
     """A VM that shuts down is not brought back by those who name it."""
     me = fleet_module.Member('vm-0', 1, 'h:0', 'ba')
@@ -538,7 +695,7 @@
     fleet.hear(other)
     assert fleet.alive() == [other]
     fleet.leave(other)
-    fleet.name([other])
+    fleet.name([fleet_module.Named(other, 0.0)])
     fleet.hear(other)
     assert fleet.alive() == []
     assert fleet.vms() == 1
