Draw two engines for each short prompt

Change: a short chooses between two engines drawn from its zone's set; any other costs more. Power of two choices.

Ruled out: long parts on those engines (no pause in their streams), too small a set (others of it were half empty).

Property "shorts_spread" is red without it (18 of 18 on one engine).

--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -58,6 +58,11 @@
 INSIDE_SET_COST: Final = 2.0
 # What it costs that all slots of an engine are taken.
 CROWD_COST: Final = 0.04
+# Engines for short prompts that one such prompt chooses among, and what it
+# costs to go to any other: with facts that are late for everybody, the best of
+# all would be chosen by many at once.
+DRAWN_ENGINES: Final = 2
+NOT_DRAWN_COST: Final = 0.1
 # Random part of each estimate, so that VMs with the same facts differ.
 NOISE: Final = 0.02
 
@@ -96,11 +101,15 @@
     slots: int
     # Whether short prompts are kept together there.
     is_for_shorts: bool
+    # Whether it is one of those that a short prompt chooses among.
+    is_drawn: bool
 
     def set_loss(self, is_short: bool) -> float:
         """Returns what keeping short and long prompts apart costs here."""
         if is_short:
             outside = 0.0 if self.is_for_shorts else OUTSIDE_SET_COST
+            if not self.is_drawn:
+                outside += NOT_DRAWN_COST
             return outside + CROWD_COST * self.load.running / self.slots
         return INSIDE_SET_COST if self.is_for_shorts else 0.0
 
@@ -181,6 +190,15 @@
                 best = Placement(endpoint, loss=loss)
         return best
 
+    def _draw(
+        self, endpoints: list[directory_module.Endpoint]
+    ) -> set[ids.EndpointId]:
+        """Returns some engines at random, of this VM's zone if it has any."""
+        near = [e for e in endpoints if e.zone == self._zone]
+        drawn = near or endpoints
+        count = min(DRAWN_ENGINES, len(drawn))
+        return {endpoint.id for endpoint in self._rng.sample(drawn, count)}
+
     def _base_loss(self, endpoint: directory_module.Endpoint) -> float:
         loss = self._reliability.failure_chance(endpoint.id)
         loss += self._rng.uniform(0, NOISE)
@@ -223,6 +241,7 @@
         found = []
         usable = self._usable(service, excluded)
         for_shorts = short_set.engines_for_shorts(usable, loads, times.slots)
+        drawn = self._draw([e for e in usable if e.id in for_shorts])
         for endpoint in usable:
             load = loads.get(endpoint.id, workload_module.EndpointLoad())
             pace = self._reliability.pace(endpoint.id)
@@ -243,6 +262,7 @@
                     times.memory_tokens - load.memory_tokens,
                     times.slots,
                     endpoint.id in for_shorts,
+                    endpoint.id in drawn,
                 )
             )
         return found
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -16,6 +16,7 @@
       | long_spares_writers | Long prompts beside answers that are written      |
       | shorts_kept_together | Short prompts of VMs that hear each other late   |
       | zone_sums           | Sixty VMs tell their hubs what they have placed    |
+      | shorts_spread       | Short prompts of VMs with the same late facts      |
       | million_in_time     | A million tokens over 18 engines                  |
       | no_herd             | Eight VMs place long prompts at once              |
       | overload_is_refused | More than the engines can begin in time           |
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -1,6 +1,7 @@
 """Properties of what decides on the users' platform, in simulated time."""
 
 import asyncio
+import collections
 import random
 
 from galenaquay.adapters import fleet_grpc
@@ -19,6 +20,7 @@
 from galenaquay.ports import exchange
 from galenaquay.ports import reservations
 from galenaquay.routing import placement
+from galenaquay.routing import short_set
 from galenaquay.streams import event_cutter
 from hypothesis import given
 from hypothesis import settings
@@ -613,6 +615,24 @@
     assert place(placer, 5_000).first_event_s > 10.0
 
 
+def check_shorts_spread():
+    """Shorts of VMs with the same late facts do not meet on one engine."""
+    loads = {
+        f'e{i}': workload_module.EndpointLoad(
+            running=5, writers=(workload_module.Writers(0.2, 5, 7.5),)
+        )
+        for i in range(18)
+    }
+    chosen = short_set.engines_for_shorts(map(engine, range(18)), loads, 8)
+    del loads[min(chosen)]
+    for seed in range(10):
+        counts = collections.Counter()
+        for vm in range(18):
+            placer, _, _ = world(18, seed * 18 + vm, loads)
+            counts[place(placer, 5_000).endpoint.id] += 1
+        assert max(counts.values()) <= 9, counts
+
+
 class ReportingVm:
     """One VM that tells others what it has placed, without a network."""
 
