Ask fewer while the platform is away

Each of 84 VMs went through all VMs of its zone every second (15,635 answers "it lost the platform"), changed its source 27 times a second, and called the store 974 times in vain; of 2,939 calls most of the rest were reads of everything when all start at once.

Ruled out: a longer rest of the first VMs (the zone would learn later that the platform is back).

--- a/packages/galenaquay/galenaquay/membership/following.py
+++ b/packages/galenaquay/galenaquay/membership/following.py
@@ -21,8 +21,13 @@
 LOG: Final = logging.getLogger(__name__)
 # Time that one question to another VM waits for a change, in seconds.
 MEMBER_WAIT_S: Final = 0.5
-# VMs that go before this one and are asked before the platform is.
+# VMs that go before this one and are asked before the platform is; and how
+# many of all are asked while this one does not reach the platform.
 MAX_CANDIDATES: Final = 2
+MAX_CANDIDATES_LOST: Final = 3
+# Time after the start in which this VM waits to hear of another, in seconds.
+START_S: Final = 0.4
+START_INTERVAL_S: Final = 0.05
 # Time for which a source that has failed is left alone, in seconds.
 REST_S: Final = 1.0
 # Time after a failure of the platform in which other VMs are asked first, in
@@ -30,7 +35,7 @@
 # one, so that a large fleet does not ask all at once.
 PLATFORM_REST_MIN_S: Final = 0.1
 PLATFORM_REST_MAX_S: Final = 0.4
-PLATFORM_REST_BY_RANK_S: Final = 0.25
+PLATFORM_REST_BY_RANK_S: Final = 0.5
 MAX_RESTING_RANK: Final = 8
 # What the time that a member let this VM wait adds to its rest.
 REST_FACTOR: Final = 3
@@ -60,6 +65,7 @@
 
     async def run(self) -> None:
         """Follows one source after the other."""
+        await self._wait_for_members()
         while True:
             member = self._choose_member()
             if member is not None:
@@ -71,6 +77,12 @@
                 self._note_source('platform')
                 await self._follow_platform()
 
+    async def _wait_for_members(self) -> None:
+        """Spares the platform what others may know, when many start."""
+        until_s = self._loop.time() + START_S
+        while self._loop.time() < until_s and not self._fleet.neighbours():
+            await asyncio.sleep(START_INTERVAL_S)
+
     def _note_source(self, source: str) -> None:
         if source != self._source:
             LOG.info(
@@ -90,7 +102,7 @@
         candidates = before[:MAX_CANDIDATES]
         if self._loop.time() < self._platform_rests_until_s:
             # The platform does not answer this VM; another may reach it.
-            candidates = before + after
+            candidates = (before + after)[:MAX_CANDIDATES_LOST]
         return next(filter(self._is_awake, candidates), None)
 
     def _ranked(
