--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -78,6 +78,8 @@
         self.service = service
         self.zone = zone
         self.port = port
+        # Port that it lists, where something stands before it.
+        self.listed_port = port
         # Events of a stream; 0 for a plain service.
         self.events = events
         self.event_s = 0.01
@@ -97,7 +99,7 @@
         """Returns what the engine writes into the store."""
         return {
             'service': self.service,
-            'address': f'127.0.0.1:{self.port}',
+            'address': f'127.0.0.1:{self.listed_port}',
             'zone': self.zone,
             'version': 'v1',
             'slots': 8,
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -182,6 +182,10 @@
     def front_port(self, vm=0):
         return self.port(100 + vm * 10)
 
+    def store_port(self, vm):
+        """Returns where an entry finds the store."""
+        return self.port(0)
+
     async def start(self, engines=2, services=2, vms=1, events=8):
         await self.store.start(self.port(0))
         for i in range(engines):
@@ -216,7 +220,7 @@
             f'listen.readiness=127.0.0.1:{front + 1}',
             f'listen.control=127.0.0.1:{front + 2}',
             f'seeds={seeds}',
-            f'platform.address=127.0.0.1:{self.port(0)}',
+            f'platform.address=127.0.0.1:{self.store_port(vm)}',
             f'bounds.revokeMs={int(REVOKE_S * 1000)}',
             f'bounds.graceS={GRACE_S}',
         ]
