--- a/packages/galenaquay/galenaquay/membership/following.py
+++ b/packages/galenaquay/galenaquay/membership/following.py
@@ -25,9 +25,6 @@
 # many of all are asked while this one does not reach the platform.
 MAX_CANDIDATES: Final = 2
 MAX_CANDIDATES_LOST: Final = 3
-# Time after the start in which this VM waits to hear of another, in seconds.
-START_S: Final = 0.4
-START_INTERVAL_S: Final = 0.05
 # Time for which a source that has failed is left alone, in seconds.
 REST_S: Final = 1.0
 # Time after a failure of the platform in which other VMs are asked first, in
@@ -65,7 +62,6 @@
 
     async def run(self) -> None:
         """Follows one source after the other."""
-        await self._wait_for_members()
         while True:
             member = self._choose_member()
             if member is not None:
@@ -77,12 +73,6 @@
                 self._note_source('platform')
                 await self._follow_platform()
 
-    async def _wait_for_members(self) -> None:
-        """Spares the platform what others may know, when many start."""
-        until_s = self._loop.time() + START_S
-        while self._loop.time() < until_s and not self._fleet.neighbours():
-            await asyncio.sleep(START_INTERVAL_S)
-
     def _note_source(self, source: str) -> None:
         if source != self._source:
             LOG.info(
