Close callers' connections that are too slow

A caller that opened a connection and sent nothing, half a head or half a body held it (and up to a whole body) for ever.

Change: TimedConnection counts from the first byte of a head to its end, and between requests, with the limits in force. A body may pause for the idle limit and come for as long as the longest route allows; past that it is answered 408, which is true: a request is decoded and sent on only once its body is whole. The library's own timer is out.

--- a/packages/galenaquay/galenaquay/adapters/forward_front.py
+++ b/packages/galenaquay/galenaquay/adapters/forward_front.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 from typing import Final, Protocol
 
 from aiohttp import web
@@ -11,6 +10,7 @@
 from ..configuration import routes
 from ..outcomes import forwarding
 from ..ports import exchange
+from . import timed_connections
 
 LOG: Final = logging.getLogger(__name__)
 # Bytes of one header line, and of all, that the parser takes.
@@ -27,6 +27,15 @@
         ...
 
 
+class BodyError(Exception):
+    """A caller's body is not allowed; nothing of the request has run."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
 class HttpReply:
     """One caller's answer."""
 
@@ -38,6 +47,10 @@
         self._closes = closes
         self._response: web.StreamResponse | None = None
 
+    def close_after(self) -> None:
+        """Has the connection closed once the answer is out."""
+        self._closes = True
+
     def _prepare(self, head: exchange.Head) -> web.StreamResponse:
         response = web.StreamResponse(status=head.status)
         for name, value in head.headers:
@@ -120,13 +133,11 @@
 
     def server(self) -> web.Server:
         """Builds the server for callers' connections."""
-        return web.Server(
+        return timed_connections.TimedServer(
             self._handle,
-            handler_cancellation=True,
+            self._limits,
             access_log=None,
             auto_decompress=False,
-            # Callers reuse connections for most of the idle limit.
-            keepalive_timeout=math.ceil(self._limits().idle_s),
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
@@ -134,6 +145,9 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         received_s = asyncio.get_running_loop().time()
         reply = HttpReply(request, self.is_closing)
+        connection = request.protocol
+        assert isinstance(connection, timed_connections.TimedConnection)
+        connection.begin_request()
         self.in_progress += 1
         try:
             await self._serve(request, reply, received_s)
@@ -143,14 +157,17 @@
             raise asyncio.CancelledError from exc
         finally:
             self.in_progress -= 1
+            connection.end_request()
         return reply.response()
 
     async def _serve(
         self, request: web.BaseRequest, reply: HttpReply, received_s: float
     ) -> None:
-        body = await self._read_body(request)
-        if body is None:
-            await reply.refuse(413, 'the body is too large')
+        try:
+            body = await self._read_body(request)
+        except BodyError as exc:
+            reply.close_after()
+            await reply.refuse(exc.status, exc.reason)
             return
         decoded = self._codec.decode_request(request, body, received_s)
         if isinstance(decoded, str):
@@ -158,16 +175,37 @@
             return
         await self._forwarder.serve(decoded, reply)
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
-        """Returns the body, None if it is larger than allowed."""
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        """Returns the body; raises BodyError if it is not allowed."""
         allowed = self._limits().body_bytes
         if (request.content_length or 0) > allowed:
-            return None
+            raise BodyError(413, 'the body is too large')
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + self._longest_s()
         parts: list[bytes] = []
         size = 0
-        async for data in request.content.iter_any():
+        while not request.content.at_eof():
+            data = await self._read_piece(request, end_s - loop.time())
             size += len(data)
             if size > allowed:
-                return None
+                raise BodyError(413, 'the body is too large')
             parts.append(data)
         return b''.join(parts)
+
+    def _longest_s(self) -> float:
+        """Returns the time that any request may take, in seconds."""
+        table = self._current.table
+        return self._limits().idle_s if table is None else table.longest_s
+
+    async def _read_piece(
+        self, request: web.BaseRequest, left_s: float
+    ) -> bytes:
+        content = request.content
+        if content.is_eof():
+            # All of it is here already, as with nearly every request.
+            return await content.readany()
+        try:
+            async with asyncio.timeout(min(self._limits().idle_s, left_s)):
+                return await content.readany()
+        except TimeoutError:
+            raise BodyError(408, 'the body came too slowly') from None
--- a/packages/galenaquay/galenaquay/configuration/routes.py
+++ b/packages/galenaquay/galenaquay/configuration/routes.py
@@ -3,10 +3,12 @@
 How an operator writes them down is left to whoever reads the documents.
 """
 
+from collections.abc import Iterable, Mapping
 import dataclasses
 import enum
+import functools
+import itertools
 import random
-from collections.abc import Iterable, Mapping
 
 from .. import ids
 
@@ -100,6 +102,9 @@
 
     header_bytes: int = 16384
     body_bytes: int = 4 * 1024 * 1024
+    # From the first byte of a request to the end of its headers.
+    header_s: float = 10.0
+    # Between two requests, or two pieces of a body.
     idle_s: float = 15.0
 
 
@@ -115,6 +120,12 @@
     # Whether requests have to show a key at all.
     needs_keys: bool
 
+    @functools.cached_property
+    def longest_s(self) -> float:
+        """The time that any route gives a request, in seconds."""
+        every = itertools.chain.from_iterable(self.routes_by_host.values())
+        return max((route.timeout_s for route in every), default=0.0)
+
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix that begins the path."""
         for route in self.routes_by_host.get(host, ()):
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -94,6 +94,31 @@
       | a header of 20000   | 400    |
       | half a body         | none   |
 
+  Scenario Outline: A caller that is too slow is cut
+    Given callers may take 400 ms for a head and be idle for <idle> ms
+    When a caller sends <what> and no more
+    Then its connection ends after <low> to 5 seconds with <answer>
+    And the services ran <ran> requests
+
+    Examples:
+      | what             | idle | low  | answer | ran |
+      | nothing          | 900  | 0.85 | none   | 0   |
+      | half a head      | 9000 | 0.35 | none   | 0   |
+      | a drip of a head | 9000 | 0.35 | none   | 0   |
+      | half a body      | 900  | 0.85 | 408    | 0   |
+      | a whole call     | 900  | 0.85 | 200    | 1   |
+
+  Scenario: A caller that drips its body is cut when its route's time is over
+    Given callers may take 400 ms for a head and be idle for 9000 ms
+    And the longest time of a route is 1500 ms
+    When a caller sends a drip of a body and no more
+    Then its connection ends after 1.45 to 5 seconds with 408
+    And the services ran 0 requests
+
+  Scenario: A connection that is reused in time is not cut
+    Given callers may take 400 ms for a head and be idle for 2000 ms
+    Then 5 calls on one connection are answered, 600 ms apart
+
   Scenario: A silent endpoint ends with the route's time
     Given each service will "mute" once
     When a call is made to "/brief/x" and timed
