Cut and delay entries' words in the soak

Change: an entry may announce another address than the one it listens on (--announce), so that a proxy can stand before it; three new faults hold back, delay or silence what others tell an entry. An entry that has ended by itself breaks a promise, with its exit status.

--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -186,6 +186,10 @@
         """Returns where an entry finds the store."""
         return self.port(0)
 
+    def members_port(self, vm):
+        """Returns where other entries find an entry."""
+        return self.front_port(vm) + 2
+
     async def start(self, engines=2, services=2, vms=1, events=8):
         await self.store.start(self.port(0))
         for i in range(engines):
@@ -211,7 +215,7 @@
 
     async def start_vm(self, vm=0, wait=True):
         front = self.front_port(vm)
-        seeds = f'127.0.0.1:{self.front_port(0) + 2}'
+        seeds = f'127.0.0.1:{self.members_port(0)}'
         path = self.folder / f'vm{vm}.conf'
         lines = [
             f'node=vm-{vm}',
@@ -230,6 +234,7 @@
                 sys.executable,
                 '-m',
                 'galenaquay_platform',
+                f'--announce=127.0.0.1:{self.members_port(vm)}',
                 env={**os.environ, 'GALENAQUAY_CONFIG': str(path)},
                 stdout=log,
                 stderr=log,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -86,6 +86,29 @@
     world.proxies_by_vm[rng.choice(sorted(world.proxies_by_vm))].silence_open()
 
 
+@fault
+async def cut_members(world, rng, lasts_s):
+    """What others tell an entry, or its replies, do not arrive."""
+    vm = rng.choice(sorted(world.member_proxies_by_vm))
+    way = rng.choice(['holds_up', 'holds_down'])
+    with weather(world.member_proxies_by_vm[vm], **{way: True}):
+        await asyncio.sleep(lasts_s)
+
+
+@fault
+async def delay_members(world, rng, lasts_s):
+    vm = rng.choice(sorted(world.member_proxies_by_vm))
+    delay_s = rng.uniform(0.05, 0.7)
+    with weather(world.member_proxies_by_vm[vm], delay_s=delay_s):
+        await asyncio.sleep(lasts_s)
+
+
+@fault
+async def silence_members(world, rng, lasts_s):
+    vm = rng.choice(sorted(world.member_proxies_by_vm))
+    world.member_proxies_by_vm[vm].silence_open()
+
+
 @fault
 async def turn_away(world, rng, lasts_s):
     world.store.is_busy = True
@@ -139,6 +162,7 @@
 async def pause_entry(world, rng, lasts_s):
     async with hold(world, rng) as vm:
         if vm is not None:
+            world.check_lives(vm)
             world.processes[vm].send_signal(signal.SIGSTOP)
             await asyncio.sleep(lasts_s)
             world.processes[vm].send_signal(signal.SIGCONT)
@@ -163,4 +187,5 @@
 async def reload_entry(world, rng, lasts_s):
     async with hold(world, rng) as vm:
         if vm is not None:
+            world.check_lives(vm)
             world.processes[vm].send_signal(signal.SIGHUP)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -117,6 +117,7 @@
         # Memory that a late order may have taken once more.
         engine.loses_orders = False
     for vm in range(worlds.VMS):
+        world.check_lives(vm)
         await world.wait_until(lambda vm=vm: world.is_ready(vm), RECOVERY_S)
         await wait_served(world, sent, vm, started_s + RECOVERY_S)
     await world.wait_until(
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,10 +4,12 @@
 
 from galenaquay_standins import sealed_engine
 from tests import platform_support as support
+from tests.soak import promises
 from tests.soak import proxy
 
 ENGINE_PROXIES = 300
 STORE_PROXIES = 400
+MEMBER_PROXIES = 410
 VMS = 3
 ENGINES = 4
 SERVICES = 3
@@ -21,6 +23,8 @@
         super().__init__(folder, base_port)
         self.proxies_by_engine = {}
         self.proxies_by_vm = {}
+        # What other entries' words to an entry pass through.
+        self.member_proxies_by_vm = {}
         # VMs that a fault has hold of, and how often each was harmed.
         self.held_vms = set()
         self.harms_by_vm = dict.fromkeys(range(VMS), 0)
@@ -30,8 +34,15 @@
     def store_port(self, vm):
         return self.port(STORE_PROXIES + vm)
 
+    def members_port(self, vm):
+        return self.port(MEMBER_PROXIES + vm)
+
     async def open(self):
         for vm in range(VMS):
+            self.member_proxies_by_vm[vm] = proxy.Proxy(
+                self.members_port(vm), self.front_port(vm) + 2
+            )
+            await self.member_proxies_by_vm[vm].start()
             self.proxies_by_vm[vm] = proxy.Proxy(
                 self.store_port(vm), self.port(0)
             )
@@ -57,8 +68,15 @@
         """Notes that an entry is not what it would be by itself."""
         self.harms_by_vm[vm] += 1
 
+    def check_lives(self, vm):
+        """Raises promises.Broken if an entry has ended by itself."""
+        status = self.processes[vm].returncode
+        if status is not None:
+            raise promises.Broken(f'vm-{vm} ended by itself: {status}')
+
     async def restart(self, vm, number):
         """Ends an entry by a signal and starts it again."""
+        self.check_lives(vm)
         process = self.processes[vm]
         process.send_signal(number)
         await process.wait()
@@ -72,5 +90,6 @@
         for one in (
             *self.proxies_by_engine.values(),
             *self.proxies_by_vm.values(),
+            *self.member_proxies_by_vm.values(),
         ):
             await one.stop()
