Split forwarding into admission and journeys

Now: admission (what the configuration says of a request, no calls out), journeys (the attempts of one request), event_relay (what a caller has of a stream), usual_times and refusals.

--- /dev/null
+++ b/packages/galenaquay/galenaquay/outcomes/admission.py
@@ -0,0 +1,87 @@
+"""Decides whether a caller's request is let in, and with which service."""
+
+import asyncio
+import dataclasses
+import random
+from typing import Final
+
+from .. import ids
+from ..configuration import current as current_module
+from ..configuration import routes
+from ..ports import exchange
+
+# Age of the configuration above which an unknown path is not called unknown.
+UNKNOWN_PATH_MAX_AGE_S: Final = 4.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """A request that is allowed, with what the configuration says of it."""
+
+    request: exchange.Request
+    route: routes.Route
+    service: routes.Service
+    account: ids.AccountId | None
+    # Version of the configuration that allowed it.
+    version: int
+    deadline_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """A request that is not let in, and the status that says so."""
+
+    status: int
+    reason: str
+
+
+class Admission:
+    """Holds requests against the configuration in force."""
+
+    def __init__(
+        self, current: current_module.Current, rng: random.Random
+    ) -> None:
+        self._current = current
+        self._rng = rng
+
+    def decide(self, request: exchange.Request) -> Admitted | Refusal:
+        """Admits a request or says why not."""
+        table = self._current.table
+        if table is None:
+            return Refusal(503, 'no configuration yet')
+        route = table.find(request.host, request.path)
+        if route is None:
+            return self._refuse_path()
+        account = None
+        if table.needs_keys and not route.is_public:
+            found = self._find_account(table, request.key)
+            if isinstance(found, Refusal):
+                return found
+            account = found
+        service = table.services_by_name.get(route.pick_service(self._rng))
+        if service is None:
+            return Refusal(503, 'no such service')
+        now_s = asyncio.get_running_loop().time()
+        return Admitted(
+            request,
+            route,
+            service,
+            account,
+            table.version,
+            min(request.deadline_s, now_s + route.timeout_s),
+        )
+
+    def _refuse_path(self) -> Refusal:
+        age_s = self._current.age_s()
+        if age_s is None or age_s > UNKNOWN_PATH_MAX_AGE_S:
+            return Refusal(503, 'stale configuration')
+        return Refusal(404, 'no such route')
+
+    def _find_account(
+        self, table: routes.RouteTable, key: ids.ApiKey | None
+    ) -> ids.AccountId | Refusal:
+        if not self._current.trusts_keys():
+            return Refusal(503, 'keys are stale')
+        if key is None or key not in table.accounts_by_key:
+            return Refusal(401, 'unknown key')
+        return table.accounts_by_key[key]
