Take over what a reload and a silent change bring

Cause: a reload replaced the settings that the process keeps, but the seeds and the time for removed keys had been handed to the fleet and to the configuration in force at the start; only the grace was ever read again. The platform also changes the file without any signal; the grace that then counts was not known at SIGTERM.

Unreadable settings change nothing, as before.

--- a/packages/galenaquay/galenaquay/configuration/current.py
+++ b/packages/galenaquay/galenaquay/configuration/current.py
@@ -29,11 +29,15 @@
         clock: Callable[[], float] = clocks.boot_s,
     ) -> None:
         self.table = None
-        self._lease_s = revoke_s * KEY_LEASE_SHARE
+        self.set_revoke_s(revoke_s)
         self._clock = clock
         self._confirmed_at_s: float | None = None
         self._was_trusted = False
 
+    def set_revoke_s(self, revoke_s: float) -> None:
+        """Sets the time within which a removed key must be refused."""
+        self._lease_s = revoke_s * KEY_LEASE_SHARE
+
     def now_s(self) -> float:
         """Returns the time on the clock that confirmations are held to."""
         return self._clock()
--- a/packages/galenaquay/galenaquay/membership/fleet.py
+++ b/packages/galenaquay/galenaquay/membership/fleet.py
@@ -64,12 +64,16 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.me = me
-        self._seeds = [seed for seed in seeds if seed != me.address]
+        self.set_seeds(seeds)
         self._clock = clock
         self._known_by_id: dict[ids.VmId, _Known] = {}
         # The process that was shutting down on a VM, by the VM's id.
         self._leaving_by_id: dict[ids.VmId, ids.Incarnation] = {}
 
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Sets whom to ask first, this VM left out."""
+        self._seeds = [seed for seed in seeds if seed != self.me.address]
+
     def _is_leaving(self, member: Member) -> bool:
         return self._leaving_by_id.get(member.vm_id) == member.incarnation
 
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -230,6 +230,26 @@
     When an entry starts and is told to reload at every moment of it
     Then it becomes ready all the same
 
+  Scenario: A reload brings new seeds into force
+    Given a second entry whose seeds do not answer
+    When its settings name the first entry's address and it reloads
+    Then each entry hears the other
+
+  Scenario: A reload brings a new time for removed keys into force
+    Given the settings allow removed keys for 0.3 seconds, and a reload
+    When the way to the store is cut
+    Then keys open nothing after 0.3 seconds
+
+  Scenario: A reload of unreadable settings changes nothing
+    Given the settings lose a field, and a reload
+    Then the entry logs "settings not reloaded" and serves on
+
+  Scenario: A grace that was changed without a signal counts at the end
+    Given each engine sends an event every 0.6 seconds
+    And the settings allow a grace of 2 seconds, without a reload
+    When the entry is told to stop while a stream is written
+    Then the entry ends within 3 seconds of being told
+
   Scenario: An entry that knows nothing yet refuses
     When an entry starts alone while the store turns everybody away
     Then it is not ready and refuses with 503
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -907,6 +907,69 @@
     run(context, work())
 
 
+def change_settings(context, vm=0, is_told=True, **changes):
+    world(context).write_settings(vm, **changes)
+    if is_told:
+        world(context).processes[vm].send_signal(signal.SIGHUP)
+        run(context, asyncio.sleep(0.2))
+
+
+@given('a second entry whose seeds do not answer')
+def step_alone(context):
+    silent = f'127.0.0.1:{world(context).port(149)}'
+    run(context, world(context).start_vm(1, seeds=silent))
+    run(context, asyncio.sleep(1.5))
+    assert '"member":' not in world(context).log(1)
+
+
+@when("its settings name the first entry's address and it reloads")
+def step_new_seeds(context):
+    change_settings(context, vm=1)
+
+
+@given('the settings allow removed keys for {seconds:g} seconds, and a reload')
+def step_new_revoke(context, seconds):
+    change_settings(context, bounds_revokeMs=int(seconds * 1000))
+
+
+@when('the way to the store is cut')
+def step_cut_store(context):
+    world(context).store.is_busy = True
+
+
+@then('keys open nothing after {seconds:g} seconds')
+def step_nothing_opens(context, seconds):
+    # The store may have confirmed them just before.
+    run(context, asyncio.sleep(seconds + 0.1))
+    assert ask_key(context, support.KEY) == 503
+
+
+@given('the settings lose a field, and a reload')
+def step_lost_field(context):
+    change_settings(context, zone=None)
+
+
+@then('the entry logs "{message}" and serves on')
+def step_logs_on(context, message):
+    assert message in world(context).log()
+    assert ask_key(context, support.KEY) == 200
+
+
+@given('the settings allow a grace of {seconds:g} seconds, without a reload')
+def step_new_grace(context, seconds):
+    change_settings(context, is_told=False, bounds_graceS=seconds)
+
+
+@then('the entry ends within {seconds:g} seconds of being told')
+def step_ends_within(context, seconds):
+    async def work():
+        # A second more than the grace, for a machine that is busy.
+        async with asyncio.timeout(seconds):
+            return await world(context).processes[0].wait()
+
+    assert run(context, work()) == 0
+
+
 def ignores_reload(process):
     """Tells whether a process ignores SIGHUP, as the kernel has it."""
     status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -213,22 +213,36 @@
         self.version += 1
         self.store.put('op/config', configuration(self.version, **changes))
 
-    async def start_vm(self, vm=0, wait=True):
+    def write_settings(self, vm=0, **changes):
+        """Writes an entry's settings file and returns its path."""
         front = self.front_port(vm)
         seeds = f'127.0.0.1:{self.members_port(0)}'
         path = self.folder / f'vm{vm}.conf'
+        fields = {
+            'node': f'vm-{vm}',
+            'zone': 'ba',
+            'listen.front': f'127.0.0.1:{front}',
+            'listen.readiness': f'127.0.0.1:{front + 1}',
+            'listen.control': f'127.0.0.1:{front + 2}',
+            'seeds': seeds,
+            'platform.address': f'127.0.0.1:{self.store_port(vm)}',
+            'bounds.revokeMs': int(REVOKE_S * 1000),
+            'bounds.graceS': GRACE_S,
+            **{
+                name.replace('_', '.'): value
+                for name, value in changes.items()
+            },
+        }
         lines = [
-            f'node=vm-{vm}',
-            'zone=ba',
-            f'listen.front=127.0.0.1:{front}',
-            f'listen.readiness=127.0.0.1:{front + 1}',
-            f'listen.control=127.0.0.1:{front + 2}',
-            f'seeds={seeds}',
-            f'platform.address=127.0.0.1:{self.store_port(vm)}',
-            f'bounds.revokeMs={int(REVOKE_S * 1000)}',
-            f'bounds.graceS={GRACE_S}',
+            f'{name}={value}'
+            for name, value in fields.items()
+            if value is not None
         ]
         path.write_text('\n'.join(lines) + '\n')
+        return path
+
+    async def start_vm(self, vm=0, wait=True, **changes):
+        path = self.write_settings(vm, **changes)
         with (self.folder / f'vm{vm}.log').open('ab') as log:
             self.processes[vm] = await asyncio.create_subprocess_exec(
                 sys.executable,
