--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -27,7 +27,7 @@
             counts, answered = asyncio.run(
                 play.play(number, seconds, folder, base_port)
             )
-        except AssertionError as exc:
+        except (AssertionError, OSError) as exc:
             failed.append(number)
             click.echo(f'seed {number} failed: {exc!r}; logs in {folder}')
             continue
