--- a/packages/galenaquay-standins/galenaquay_standins/kv_store.py
+++ b/packages/galenaquay-standins/galenaquay_standins/kv_store.py
@@ -29,10 +29,13 @@
     is_busy: bool
     # Whether the history of changes is gone.
     is_compacted: bool
+    # Whether the answer of the next watch is lost.
+    loses_watch: bool
 
     def __init__(self) -> None:
         self.is_busy = False
         self.is_compacted = False
+        self.loses_watch = False
         self.calls = 0
         self.revision = 1
         self.items_by_key: dict[str, dict[str, Any]] = {}
@@ -104,6 +107,9 @@
         self.calls += 1
         prefix = request.query['prefix']
         after = int(request.query['after'])
+        if self.loses_watch:
+            self.loses_watch = False
+            await asyncio.Event().wait()
         try:
             async with asyncio.timeout(int(request.query['waitMs']) / 1000):
                 while not self._changes(prefix, after) and not self.is_busy:
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -170,6 +170,11 @@
     Then a call gets 503 and no service gets it
     And calls are served again when the zone is taken back
 
+  Scenario: A lost answer of the store does not hide that a service drains
+    When two more entries start
+    And the answer of a watch is lost and one service drains
+    Then after 2 seconds no entry sends calls to it
+
   Scenario: An address that another service has now
     When an engine's address is used by a service
     Then no call runs at the engine
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -568,6 +568,35 @@
     run(context, asyncio.sleep(0.2))
 
 
+@when('the answer of a watch is lost and one service drains')
+def step_lost_watch(context):
+    store = world(context).store
+
+    async def lose():
+        store.loses_watch = True
+        # Ends the watch that is open, so that the next one is lost.
+        store.put('servers/s1', world(context).engines_by_name['s1'].entry())
+        await world(context).wait_until(lambda: not store.loses_watch, 5.0)
+
+    run(context, lose())
+    draining = world(context).engines_by_name['s0']
+    store.put('servers/s0', draining.entry('draining'))
+
+
+@then('after {seconds:g} seconds no entry sends calls to it')
+def step_drained_everywhere(context, seconds):
+    run(context, asyncio.sleep(seconds))
+    received = world(context).engines_by_name['s0'].received
+    before = len(received)
+    for vm in sorted(world(context).processes):
+        for _ in range(6):
+            asking = support.ask(
+                world(context).front_port(vm), 'GET', '/look/x'
+            )
+            assert run(context, asking).status == 200
+    assert len(received) == before
+
+
 @then('only the other service gets calls')
 def step_other(context):
     for _ in range(6):
