--- a/packages/galenaquay/galenaquay/membership/following.py
+++ b/packages/galenaquay/galenaquay/membership/following.py
@@ -20,11 +20,11 @@
 
 LOG: Final = logging.getLogger(__name__)
 # Time that one question to another VM waits for a change, in seconds.
-MEMBER_WAIT_S: Final = 0.5
+MEMBER_WAIT_S: Final = 0.3
 # VMs that go before this one and are asked before the platform is; and how
-# many of all are asked while this one does not reach the platform.
+# many others, drawn at each failure, while this one does not reach it.
 MAX_CANDIDATES: Final = 2
-MAX_CANDIDATES_LOST: Final = 3
+DRAWN_CANDIDATES: Final = 2
 # Time for which a source that has failed is left alone, in seconds.
 REST_S: Final = 1.0
 # Time after a failure of the platform in which other VMs are asked first, in
@@ -32,7 +32,7 @@
 # one, so that a large fleet does not ask all at once.
 PLATFORM_REST_MIN_S: Final = 0.1
 PLATFORM_REST_MAX_S: Final = 0.4
-PLATFORM_REST_BY_RANK_S: Final = 0.5
+PLATFORM_REST_BY_RANK_S: Final = 0.15
 MAX_RESTING_RANK: Final = 8
 # What the time that a member let this VM wait adds to its rest.
 REST_FACTOR: Final = 3
@@ -58,6 +58,7 @@
         # When a member may be asked again, by its process.
         self._rests_until_s: dict[tuple[ids.VmId, ids.Incarnation], float] = {}
         self._platform_rests_until_s = 0.0
+        self._drawn: list[fleet_module.Member] = []
         self._source = ''
 
     async def run(self) -> None:
@@ -91,8 +92,9 @@
         before, after = self._ranked()
         candidates = before[:MAX_CANDIDATES]
         if self._loop.time() < self._platform_rests_until_s:
-            # The platform does not answer this VM; another may reach it.
-            candidates = (before + after)[:MAX_CANDIDATES_LOST]
+            # The platform does not answer this VM, and those that go first
+            # may have lost it like this one; any other may reach it.
+            candidates = candidates + self._drawn
         return next(filter(self._is_awake, candidates), None)
 
     def _ranked(
@@ -146,7 +148,9 @@
                 await following
 
     def _note_platform_failure(self, reason: str) -> None:
-        before, _ = self._ranked()
+        before, after = self._ranked()
+        others = before[MAX_CANDIDATES:] + after
+        self._drawn = random.sample(others, min(DRAWN_CANDIDATES, len(others)))
         rank = min(len(before), MAX_RESTING_RANK)
         rest_s = rank * PLATFORM_REST_BY_RANK_S + random.uniform(
             PLATFORM_REST_MIN_S, PLATFORM_REST_MAX_S
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -175,6 +175,11 @@
     And the answer of a watch is lost and one service drains
     Then after 2 seconds no entry sends calls to it
 
+  Scenario: A silent source and a lost answer hide no drain for long
+    When two more entries start
+    And the entry that reads the store is paused, the next watch is lost and one service drains
+    Then after 2 seconds no entry sends calls to it
+
   Scenario: An address that another service has now
     When an engine's address is used by a service
     Then no call runs at the engine
--- a/tests/features/steps/platform_store_steps.py
+++ b/tests/features/steps/platform_store_steps.py
@@ -102,12 +102,26 @@
     store.put('servers/s0', draining.entry('draining'))
 
 
+@when(
+    'the entry that reads the store is paused, the next watch is lost and '
+    'one service drains'
+)
+def step_silent_source(context):
+    world = platform_asking.world(context)
+    (context.paused_vm,) = readers_of_store(context)
+    world.processes[context.paused_vm].send_signal(signal.SIGSTOP)
+    world.store.loses_watch = True
+    draining = world.engines_by_name['s0']
+    world.store.put('servers/s0', draining.entry('draining'))
+
+
 @then('after {seconds:g} seconds no entry sends calls to it')
 def step_drained_everywhere(context, seconds):
     platform_asking.run(context, asyncio.sleep(seconds))
     received = platform_asking.world(context).engines_by_name['s0'].received
     before = len(received)
-    for vm in sorted(platform_asking.world(context).processes):
+    paused = {getattr(context, 'paused_vm', None)}
+    for vm in set(platform_asking.world(context).processes) - paused:
         for _ in range(6):
             asking = support.ask(
                 platform_asking.world(context).front_port(vm), 'GET', '/look/x'
@@ -177,15 +191,18 @@
     return sources[-1]
 
 
-@when('the entry that reads the store is killed')
-def step_kill_reader(context):
-    readers = [
+def readers_of_store(context):
+    return [
         vm
         for vm in platform_asking.world(context).processes
         if source_of(context, vm) == 'platform'
     ]
-    assert len(readers) == 1, readers
-    process = platform_asking.world(context).processes.pop(readers[0])
+
+
+@when('the entry that reads the store is killed')
+def step_kill_reader(context):
+    (reader,) = readers_of_store(context)
+    process = platform_asking.world(context).processes.pop(reader)
     process.send_signal(signal.SIGKILL)
     platform_asking.run(context, process.wait())
 
