--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import itertools
 import pathlib
 import sys
 
@@ -21,8 +20,10 @@
     vms=4,
 )
 TIME_SCALE = 10.0
-# Each scenario on the users' platform has ports of its own.
-PLATFORM_PORTS = itertools.count(18000, 150)
+# Each scenario on the users' platform has ports of its own, below those of
+# the fleet that the others share.
+FLEET_PORT = 25000
+PLATFORM_PORTS = iter(range(10000, FLEET_PORT - 150, 150))
 
 
 def before_all(context):
@@ -35,12 +36,12 @@
         options = fleets.FleetOptions(
             SMALL,
             ROOT / '.run' / 'tests',
-            base_port=25000,
+            base_port=FLEET_PORT,
             time_scale=TIME_SCALE,
             settings={
                 'telemetry': {'trace_share': 1.0},
                 'platform': {
-                    'url': 'http://127.0.0.1:25000',
+                    'url': f'http://127.0.0.1:{FLEET_PORT}',
                     'watch_s': 2.0,
                 },
             },
