Show the size and time of passed-on documents

The logs said when a change was in force, not how it came there: a follower that waits for a large document and one whose source is silent both left only a TimeoutError.

--- a/packages/galenaquay/galenaquay/adapters/mirror_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/mirror_grpc.py
@@ -10,6 +10,7 @@
 import grpclib.exceptions
 import grpclib.server
 
+from .. import telemetry
 from ..configuration import mirror as mirror_module
 from ..membership import fleet as fleet_module
 from ..ports import documents
@@ -25,8 +26,11 @@
 class MirrorServer(mirror_grpc.MirrorBase):
     """Implements the gRPC service `Mirror`."""
 
-    def __init__(self, copy: mirror_module.Mirror) -> None:
+    def __init__(
+        self, copy: mirror_module.Mirror, metrics: telemetry.TextMetrics
+    ) -> None:
         self._copy = copy
+        self._metrics = metrics
 
     async def Follow(  # noqa: N802
         self, stream: 'grpclib.server.Stream[Any, Any]'
@@ -49,7 +53,9 @@
             await self._copy.wait_for_changes(
                 request.revision, max(0.0, wait_s)
             )
-        await stream.send_message(self._reply(request.revision))
+        reply = self._reply(request.revision)
+        self._metrics.count('document_bytes_sent', reply.ByteSize())
+        await stream.send_message(reply)
 
     def _reply(self, revision: int) -> mirror_pb2.FollowReply:
         update = self._copy.changes_since(revision)
@@ -93,7 +99,7 @@
         member: fleet_module.Member,
         copy: mirror_module.Mirror,
         wait_s: float,
-    ) -> None:
+    ) -> documents.Received:
         """Requests new documents from a VM once and applies them.
 
         Args:
@@ -101,6 +107,9 @@
             copy: The copy of the documents that is updated.
             wait_s: How long the VM may wait for a change, in seconds.
 
+        Returns:
+            What the reply contained.
+
         Raises:
             SourceError: The VM did not reply, or has no usable documents.
         """
@@ -127,6 +136,7 @@
                 str(exc) or type(exc).__name__
             ) from exc
         _apply_reply(reply, copy, asked_at_s)
+        return documents.Received(len(reply.documents), reply.ByteSize())
 
 
 def _apply_reply(
--- a/packages/galenaquay/galenaquay/membership/following.py
+++ b/packages/galenaquay/galenaquay/membership/following.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from .. import ids
+from .. import telemetry
 from ..configuration import mirror as mirror_module
 from . import fleet as fleet_module
 from ..ports import documents
@@ -53,8 +54,10 @@
         platform: documents.Platform,
         members: documents.Members,
         fleet: fleet_module.Fleet,
+        metrics: telemetry.TextMetrics,
     ) -> None:
         self._mirror = copy
+        self._metrics = metrics
         self._platform = platform
         self._members = members
         self._fleet = fleet
@@ -128,18 +131,50 @@
     async def _ask(self, member: fleet_module.Member) -> None:
         started_s = self._loop.time()
         try:
-            await self._members.update(member, self._mirror, MEMBER_WAIT_S)
+            received = await self._members.update(
+                member, self._mirror, MEMBER_WAIT_S
+            )
         except documents.SourceError as exc:
+            # A member that timed out delays each further attempt, so it is
+            # asked again later than one that refused at once.
+            took_s = self._loop.time() - started_s
             LOG.info(
                 'member gave no documents',
-                extra={'member': member.vm_id, 'reason': str(exc)},
+                extra={
+                    'member': member.vm_id,
+                    'reason': str(exc),
+                    'took_s': round(took_s, 3),
+                },
             )
+            self._metrics.count('document_updates', outcome='failed')
             key = (member.vm_id, member.incarnation)
-            # A member that timed out delays each further attempt, so it is
-            # asked again later than one that refused at once.
-            took_s = self._loop.time() - started_s
             backoff_s = MEMBER_BACKOFF_S + took_s * MEMBER_BACKOFF_FACTOR
             self._retry_at_s[key] = self._loop.time() + backoff_s
+            return
+        self._record_received(member, received, self._loop.time() - started_s)
+
+    def _record_received(
+        self,
+        member: fleet_module.Member,
+        received: documents.Received,
+        took_s: float,
+    ) -> None:
+        self._metrics.count('document_updates', outcome='received')
+        self._metrics.count('document_bytes_received', received.size_bytes)
+        self._metrics.observe('document_update_seconds', took_s)
+        if not received.documents:
+            return
+        LOG.info(
+            'documents received',
+            extra={
+                'member': member.vm_id,
+                'documents': received.documents,
+                'bytes': received.size_bytes,
+                'took_s': round(took_s, 3),
+                'revision': self._mirror.revision,
+                'checked_age_s': self._mirror.checked_age_s(),
+            },
+        )
 
     async def _follow_platform(self) -> None:
         following = asyncio.ensure_future(self._platform.follow(self._mirror))
--- a/packages/galenaquay/galenaquay/ports/documents.py
+++ b/packages/galenaquay/galenaquay/ports/documents.py
@@ -1,5 +1,6 @@
 """The port to the sources of the platform's documents."""
 
+import dataclasses
 from typing import Protocol
 
 from ..configuration import mirror
@@ -10,6 +11,15 @@
     """A source has failed; documents received earlier remain valid."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """What one reply of a source contained."""
+
+    documents: int
+    # Size of the reply, in bytes.
+    size_bytes: int
+
+
 class Platform(Protocol):
     """The platform, which publishes the documents."""
 
@@ -23,7 +33,7 @@
 
     async def update(
         self, member: fleet.Member, copy: mirror.Mirror, wait_s: float
-    ) -> None:
+    ) -> Received:
         """Requests changes from a VM once and applies them to a copy.
 
         Args:
--- a/packages/galenaquay/galenaquay/telemetry.py
+++ b/packages/galenaquay/galenaquay/telemetry.py
@@ -19,11 +19,11 @@
         self._sums_s: dict[str, float] = {}
         self._gauges: dict[str, float] = {}
 
-    def count(self, name: str, **labels: object) -> None:
-        """Increments a counter."""
+    def count(self, name: str, amount: int = 1, **labels: object) -> None:
+        """Adds an amount to a counter."""
         pairs = ','.join(f'{key}="{labels[key]}"' for key in sorted(labels))
         key = f'{PREFIX}_{name}_total{{{pairs}}}'
-        self._counts[key] = self._counts.get(key, 0) + 1
+        self._counts[key] = self._counts.get(key, 0) + amount
 
     def gauge(self, name: str, value: float) -> None:
         """Sets the value of a gauge."""
