--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -183,7 +183,13 @@
         self.store = kv_store.KvStore()
         self.engines_by_name = {}
         self.processes = {}
+        self.proxies = []
         self.version = 1
+        # Port at which other entry processes reach a VM, where it is not the
+        # port that the VM listens on.
+        self.peer_ports_by_vm = {}
+        # Port at which a VM finds the store, where it is not the store's own.
+        self.store_ports_by_vm = {}
 
     def port(self, offset):
         return self.base_port + offset
@@ -193,11 +199,11 @@
 
     def store_port(self, vm):
         """Returns the port at which the process of a VM finds the store."""
-        return self.port(0)
+        return self.store_ports_by_vm.get(vm, self.port(0))
 
     def peer_port(self, vm):
         """Returns the port at which other entry processes reach a VM."""
-        return self.front_port(vm) + 2
+        return self.peer_ports_by_vm.get(vm, self.front_port(vm) + 2)
 
     async def start(self, engines=2, services=2, vms=1, events=8):
         await self.store.start(self.port(0))
@@ -311,4 +317,6 @@
                 await process.wait()
         for engine in self.engines_by_name.values():
             await engine.stop()
+        for each_proxy in self.proxies:
+            await each_proxy.stop()
         await self.store.stop()
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -15,6 +15,9 @@
     # Whether data from clients, or data from the target, is held back.
     stalls_requests: bool = False
     stalls_responses: bool = False
+    # Rate at which the proxy passes on the responses of all connections
+    # together, in bytes per second; 0 sets no limit.
+    response_bytes_per_s: float = 0.0
 
 
 class Proxy:
@@ -30,6 +33,9 @@
         self._stalled_writers = set()
         self._tasks = set()
         self._server = None
+        # When the responses that were passed on have left a limited link, on
+        # the clock of the event loop, in seconds.
+        self._responses_sent_at_s = 0.0
 
     async def start(self):
         self._server = await asyncio.start_server(
@@ -58,6 +64,15 @@
         """Holds back all further data of the connections that are open now."""
         self._stalled_writers.update(self._writers)
 
+    async def _wait_for_link(self, size):
+        rate = self.impairment.response_bytes_per_s
+        if not rate:
+            return
+        now_s = asyncio.get_running_loop().time()
+        start_s = max(now_s, self._responses_sent_at_s)
+        self._responses_sent_at_s = start_s + size / rate
+        await asyncio.sleep(self._responses_sent_at_s - now_s)
+
     async def _serve(self, reader, writer):
         self._tasks.add(asyncio.current_task())
         try:
@@ -92,6 +107,8 @@
                 else self.impairment.stalls_responses
             ):
                 await asyncio.sleep(0.02)
+            if not is_request:
+                await self._wait_for_link(len(data))
             writer.write(data)
             await writer.drain()
         if writer.can_write_eof():
