Pass on documents as differences

Cause: the first VM of a zone sent every version of the configuration, whole, to each of 27 others over its own link. 62 KB to 16 of them are 0.8 s of a link of 10 Mbit/s; 25 versions came 0.23 s apart. A follower that had fallen behind was sent all versions in between as well, so that the load grew with the delay. Withdrawn zones, endpoints that leave and the VM's own reads of the store wait on the same link. The log of 500 changes kept whole documents, and each check of the store read the whole configuration again, within 0.6 s or not at all.

Change: a VM is sent the newest state of each document that changed, once, compressed with zstd against the version that it has (387 KB: 70 bytes for one route more, 16 KB without a base). Removals are remembered by revision and never undone by an older copy, which also keeps a zone withdrawn when the next source is behind.

--- a/packages/galenaquay/galenaquay/adapters/mirror_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/mirror_grpc.py
@@ -11,15 +11,14 @@
 import grpclib.server
 
 from .. import telemetry
+from ..configuration import compression
+from ..configuration import freshness as freshness_module
 from ..configuration import mirror as mirror_module
 from ..membership import fleet as fleet_module
 from ..ports import documents
 
 # Timeout for a reply, in addition to the requested wait, in seconds.
-REPLY_TIMEOUT_S: Final = 0.4
-# Other VMs ignore the documents of a VM whose last check at the platform is
-# older than this, in seconds.
-MAX_CHECKED_AGE_S: Final = 1.5
+REPLY_TIMEOUT_S: Final = 0.5
 _MS_PER_S: Final = 1000
 
 
@@ -27,10 +26,15 @@
     """Implements the gRPC service `Mirror`."""
 
     def __init__(
-        self, copy: mirror_module.Mirror, metrics: telemetry.TextMetrics
+        self,
+        copy: mirror_module.Mirror,
+        freshness: freshness_module.Freshness,
+        metrics: telemetry.TextMetrics,
     ) -> None:
         self._copy = copy
+        self._freshness = freshness
         self._metrics = metrics
+        self._compressed = compression.CompressionCache()
 
     async def Follow(  # noqa: N802
         self, stream: 'grpclib.server.Stream[Any, Any]'
@@ -48,20 +52,28 @@
             # A reply at this age tells the other VM early that this VM has
             # lost contact with the platform.
             wait_s = min(
-                request.wait_ms / _MS_PER_S, MAX_CHECKED_AGE_S - age_s
+                request.wait_ms / _MS_PER_S,
+                self._freshness.max_source_age_s - age_s,
             )
             await self._copy.wait_for_changes(
-                request.revision, max(0.0, wait_s)
+                max(request.revision, request.newest_revision),
+                max(0.0, wait_s),
             )
-        reply = self._reply(request.revision)
+        reply = self._reply(request)
         self._metrics.count('document_bytes_sent', reply.ByteSize())
         await stream.send_message(reply)
 
-    def _reply(self, revision: int) -> mirror_pb2.FollowReply:
-        update = self._copy.changes_since(revision)
+    def _reply(
+        self, request: mirror_pb2.FollowRequest
+    ) -> mirror_pb2.FollowReply:
+        update = self._copy.changes_since(request.revision)
         age_s = self._copy.checked_age_s()
+        held_by_key = {held.key: held.revision for held in request.held}
         return mirror_pb2.FollowReply(
-            documents=map(_document_message, update.changes),
+            documents=[
+                self._document_message(change, request, held_by_key)
+                for change in update.changes
+            ],
             whole=update.is_complete,
             revision=update.revision,
             checked_age_ms_plus_one=(
@@ -69,6 +81,30 @@
             ),
         )
 
+    def _document_message(
+        self,
+        change: mirror_module.Change,
+        request: mirror_pb2.FollowRequest,
+        held_by_key: dict[str, int],
+    ) -> mirror_pb2.Document:
+        document = change.document
+        if document is None:
+            return mirror_pb2.Document(
+                key=change.key, revision=change.revision, removed=True
+            )
+        message = mirror_pb2.Document(
+            key=change.key, revision=change.revision, value=document.value
+        )
+        is_large = len(document.value) >= mirror_module.LARGE_DOCUMENT_BYTES
+        if is_large and request.accepts_compressed:
+            base = self._copy.version_of(
+                change.key, held_by_key.get(change.key, 0)
+            )
+            message.value = self._compressed.compress(document, base)
+            message.compressed = True
+            message.base_revision = base.revision if base is not None else 0
+        return message
+
 
 class MemberDocuments:
     """Requests documents from other VMs; keeps one open channel.
@@ -76,7 +112,8 @@
     The channel leads to the VM of the last request.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, freshness: freshness_module.Freshness) -> None:
+        self._freshness = freshness
         self._address = ''
         self._channel: grpclib.client.Channel | None = None
 
@@ -117,11 +154,7 @@
         stub = mirror_grpc.MirrorStub(self._open_channel(member.address))
         try:
             async with asyncio.timeout(wait_s + REPLY_TIMEOUT_S):
-                reply = await stub.Follow(
-                    mirror_pb2.FollowRequest(
-                        revision=copy.revision, wait_ms=int(wait_s * _MS_PER_S)
-                    )
-                )
+                reply = await stub.Follow(_request(copy, wait_s))
         except (
             OSError,
             TimeoutError,
@@ -135,21 +168,47 @@
             raise documents.SourceError(
                 str(exc) or type(exc).__name__
             ) from exc
-        _apply_reply(reply, copy, asked_at_s)
+        age_s = _apply_reply(reply, copy, asked_at_s)
+        if age_s > self._freshness.max_source_age_s:
+            raise documents.SourceError(f'it lost the platform {age_s} s ago')
         return documents.Received(len(reply.documents), reply.ByteSize())
 
 
+def _request(
+    copy: mirror_module.Mirror, wait_s: float
+) -> mirror_pb2.FollowRequest:
+    return mirror_pb2.FollowRequest(
+        revision=copy.revision,
+        wait_ms=int(wait_s * _MS_PER_S),
+        newest_revision=copy.newest_revision,
+        held=[
+            mirror_pb2.DocumentVersion(
+                key=document.key, revision=document.revision
+            )
+            for document in copy.large_documents()
+        ],
+        accepts_compressed=True,
+    )
+
+
 def _apply_reply(
     reply: mirror_pb2.FollowReply,
     copy: mirror_module.Mirror,
     asked_at_s: float,
-) -> None:
+) -> float:
+    """Applies a reply; returns the age of the other VM's last check.
+
+    Raises:
+        SourceError: The other VM has no documents, or a document cannot be
+            restored.
+    """
     if not reply.revision or not reply.checked_age_ms_plus_one:
         raise documents.SourceError('it knows nothing yet')
     age_s = (reply.checked_age_ms_plus_one - 1) / _MS_PER_S
-    if age_s > MAX_CHECKED_AGE_S:
-        raise documents.SourceError(f'it lost the platform {age_s} s ago')
-    changes = [_change_from_message(message) for message in reply.documents]
+    try:
+        changes = [_change_from_message(m, copy) for m in reply.documents]
+    except compression.CompressionError as exc:
+        raise documents.SourceError(f'invalid document: {exc}') from exc
     if reply.whole:
         copy.replace_all(
             [c.document for c in changes if c.document is not None],
@@ -157,26 +216,34 @@
         )
     else:
         copy.apply(changes, reply.revision)
-    if reply.revision >= copy.revision:
-        # The other VM computed the age after this VM had sent its request, so
-        # subtracting the age from the time of sending can only make the check
-        # look older than it is, never newer.
-        copy.record_check(asked_at_s - age_s)
-
-
-def _document_message(change: mirror_module.Change) -> mirror_pb2.Document:
-    return mirror_pb2.Document(
-        key=change.key,
-        value=change.document.value if change.document is not None else b'',
-        revision=change.revision,
-        removed=change.document is None,
-    )
+    # The other VM computed the age after this VM had sent its request, so
+    # subtracting the age from the time of sending can only make the check
+    # look older than it is, never newer. The copy now contains all that the
+    # other VM has.
+    copy.record_check(asked_at_s - age_s)
+    return age_s
 
 
-def _change_from_message(message: mirror_pb2.Document) -> mirror_module.Change:
+def _change_from_message(
+    message: mirror_pb2.Document, copy: mirror_module.Mirror
+) -> mirror_module.Change:
     document = None
     if not message.removed:
         document = mirror_module.Document(
-            message.key, message.value, message.revision
+            message.key, _value_of(message, copy), message.revision
         )
     return mirror_module.Change(message.key, message.revision, document)
+
+
+def _value_of(
+    message: mirror_pb2.Document, copy: mirror_module.Mirror
+) -> bytes:
+    value: bytes = message.value
+    if not message.compressed:
+        return value
+    if not message.base_revision:
+        return compression.decompress(value)
+    base = copy.version_of(message.key, message.base_revision)
+    if base is None:
+        raise compression.CompressionError('the base is not known')
+    return compression.decompress(value, base.value)
--- a/packages/galenaquay/galenaquay/configuration/mirror.py
+++ b/packages/galenaquay/galenaquay/configuration/mirror.py
@@ -1,7 +1,7 @@
-"""A local copy of the platform's documents, with a log of recent changes.
+"""A local copy of the platform's documents, with the revisions of changes.
 
-The copy is updated from the platform or from another VM, and never goes back
-to an older state. Listeners interpret the documents.
+The copy is updated from the platform or from another VM, and no document goes
+back to an older state. Listeners interpret the documents.
 """
 
 import asyncio
@@ -13,9 +13,14 @@
 
 from .. import clocks
 
-# Number of recent changes that are kept for VMs that follow this copy. A VM
-# that needs older changes receives all documents.
-MAX_CHANGES: Final = 500
+# Number of latest removals that are kept for VMs that follow this copy. A VM
+# that may have missed an earlier removal receives all documents.
+MAX_REMOVALS: Final = 500
+# Size from which earlier versions of a document are kept, in bytes, so that
+# VMs that have one of these versions receive only the difference.
+LARGE_DOCUMENT_BYTES: Final = 4096
+# Total size of the earlier versions that are kept, in bytes.
+MAX_EARLIER_BYTES: Final = 4 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,9 +47,10 @@
 class Update:
     """The changes that a follower of the mirror has not received yet."""
 
+    # The latest change of each document.
     changes: tuple[Change, ...]
-    # Whether the changes are the complete set of documents, which replaces
-    # the copy of the follower.
+    # Whether the changes are the complete set of documents. A document of the
+    # follower that is not among them was removed.
     is_complete: bool
     revision: int
 
@@ -52,14 +58,14 @@
 class Listener(Protocol):
     """Interprets the documents of a mirror."""
 
-    def replace_all(self, documents: Iterable[Document]) -> None:
-        """Processes the complete set of documents."""
-        ...
-
     def apply_change(self, change: Change) -> None:
         """Processes one change."""
         ...
 
+    def mark_complete(self) -> None:
+        """Processes that the mirror has had the complete set of documents."""
+        ...
+
 
 class Mirror:
     """A copy of the documents, and the time at which it was up to date."""
@@ -67,6 +73,8 @@
     # Revision of the store up to which the copy is complete; 0 before the
     # first update.
     revision: int
+    # Highest revision of any change in the copy.
+    newest_revision: int
     documents_by_key: dict[str, Document]
 
     def __init__(
@@ -76,18 +84,22 @@
         clock: Callable[[], float] = clocks.boottime_s,
     ) -> None:
         self.revision = 0
+        self.newest_revision = 0
         self.documents_by_key = {}
         self._listeners = list(listeners)
         # Called with each time at which the copy was known to be up to date.
         self._on_checked = on_checked
         self._clock = clock
         self._checked_at_s: float | None = None
-        self._changes: collections.deque[Change] = collections.deque(
-            maxlen=MAX_CHANGES
+        # Revision of the removal of each document that was removed.
+        self._removals_by_key: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
         )
-        # The kept changes include all changes after this revision.
+        # The kept removals include all removals after this revision.
         self._complete_after = 0
-        self._newest_revision = 0
+        # Earlier versions of large documents, from oldest to newest.
+        self._earlier: collections.deque[Document] = collections.deque()
+        self._earlier_bytes = 0
         self._changed = asyncio.Event()
 
     def now_s(self) -> float:
@@ -96,22 +108,46 @@
 
     def replace_all(
         self, documents: Iterable[Document], revision: int
-    ) -> bool:
-        """Replaces all documents, unless the copy has a newer revision.
+    ) -> None:
+        """Applies a list of all documents.
 
-        Returns:
-            Whether the documents were replaced.
+        Args:
+            documents: The documents.
+            revision: Revision of the store from which changes may be missing.
         """
-        if revision < self.revision:
-            return False
-        self.documents_by_key = {d.key: d for d in documents}
-        self._changes.clear()
-        self._complete_after = revision
-        self._newest_revision = revision
+        is_first = not self.revision
+        self.apply_listing('', documents, revision)
+        if is_first:
+            # Removals before the first list are not known.
+            self._complete_after = max(self._complete_after, revision)
         self._advance(revision)
         for listener in self._listeners:
-            listener.replace_all(self.documents_by_key.values())
-        return True
+            listener.mark_complete()
+
+    def apply_listing(
+        self, prefix: str, documents: Iterable[Document], revision: int
+    ) -> None:
+        """Applies a list of all documents whose keys have a prefix.
+
+        A document that is in the copy but not in the list counts as removed if
+        its last change was before the list.
+
+        Args:
+            prefix: The prefix.
+            documents: The documents.
+            revision: Revision of the store at the start of the list.
+        """
+        listed = list(documents)
+        keys = {document.key for document in listed}
+        changes = [Change(d.key, d.revision, d) for d in listed]
+        changes += [
+            Change(known.key, revision, None)
+            for known in self.documents_by_key.values()
+            if known.key.startswith(prefix)
+            and known.key not in keys
+            and known.revision < revision
+        ]
+        self.apply(changes, self.revision)
 
     def apply(self, changes: Iterable[Change], revision: int) -> None:
         """Applies changes that follow the revision of the copy.
@@ -119,29 +155,49 @@
         Changes that the copy already contains are skipped.
         """
         for change in changes:
-            current = self.documents_by_key.get(change.key)
-            if current is None and change.document is None:
+            if change.revision <= self._known_revision(change.key):
                 continue
-            if current is not None and current.revision >= change.revision:
+            was_known = self._store(change)
+            self.newest_revision = max(self.newest_revision, change.revision)
+            if change.document is None and not was_known:
                 continue
-            if change.document is None:
-                self.documents_by_key.pop(change.key, None)
-            else:
-                self.documents_by_key[change.key] = change.document
-            self._append_change(change)
             for listener in self._listeners:
                 listener.apply_change(change)
         self._advance(revision)
 
-    def _append_change(self, change: Change) -> None:
-        if len(self._changes) == MAX_CHANGES:
-            dropped_revision = self._changes[0].revision
+    def _known_revision(self, key: str) -> int:
+        """Returns the revision of the last known change of a document."""
+        document = self.documents_by_key.get(key)
+        if document is not None:
+            return document.revision
+        return self._removals_by_key.get(key, 0)
+
+    def _store(self, change: Change) -> bool:
+        """Stores a change; returns whether the copy had the document."""
+        old = self.documents_by_key.pop(change.key, None)
+        self._removals_by_key.pop(change.key, None)
+        if old is not None:
+            self._keep_earlier(old)
+        if change.document is not None:
+            self.documents_by_key[change.key] = change.document
+            return old is not None
+        self._removals_by_key[change.key] = change.revision
+        if len(self._removals_by_key) > MAX_REMOVALS:
+            _, dropped_revision = self._removals_by_key.popitem(last=False)
             self._complete_after = max(self._complete_after, dropped_revision)
-        self._changes.append(change)
-        self._newest_revision = max(self._newest_revision, change.revision)
+        return old is not None
+
+    def _keep_earlier(self, document: Document) -> None:
+        if len(document.value) < LARGE_DOCUMENT_BYTES:
+            return
+        self._earlier.append(document)
+        self._earlier_bytes += len(document.value)
+        while self._earlier_bytes > MAX_EARLIER_BYTES:
+            self._earlier_bytes -= len(self._earlier.popleft().value)
 
     def _advance(self, revision: int) -> None:
         self.revision = max(self.revision, revision)
+        self.newest_revision = max(self.newest_revision, self.revision)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -167,24 +223,57 @@
     def changes_since(self, revision: int) -> Update:
         """Returns the changes after a revision, or all documents.
 
-        All documents are returned if the kept changes do not reach back to
+        All documents are returned if the kept removals do not reach back to
         the revision.
         """
-        if revision and revision >= self._complete_after:
-            changes = tuple(c for c in self._changes if c.revision > revision)
-            return Update(changes, False, self.revision)
-        changes = tuple(
+        is_complete = not revision or revision < self._complete_after
+        changes = [
             Change(document.key, document.revision, document)
             for document in self.documents_by_key.values()
+            if is_complete or document.revision > revision
+        ]
+        if not is_complete:
+            changes += [
+                Change(key, removed_at, None)
+                for key, removed_at in self._removals_by_key.items()
+                if removed_at > revision
+            ]
+        return Update(tuple(changes), is_complete, self.revision)
+
+    def version_of(self, key: str, revision: int) -> Document | None:
+        """Returns a version of a document, if the copy still has it."""
+        current = self.documents_by_key.get(key)
+        if current is not None and current.revision == revision:
+            return current
+        return next(
+            (
+                document
+                for document in self._earlier
+                if (document.key, document.revision) == (key, revision)
+            ),
+            None,
         )
-        return Update(changes, True, self.revision)
 
-    async def wait_for_changes(self, revision: int, timeout_s: float) -> None:
-        """Waits until a change after a revision arrives, or for a timeout."""
+    def large_documents(self) -> list[Document]:
+        """Returns the documents whose differences can be applied."""
+        return [
+            document
+            for document in self.documents_by_key.values()
+            if len(document.value) >= LARGE_DOCUMENT_BYTES
+        ]
+
+    async def wait_for_changes(
+        self, newest_revision: int, timeout_s: float
+    ) -> None:
+        """Waits for a change after a revision, or for a timeout."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self.newest_revision <= newest_revision:
+                    await self._changed.wait()
+
+    async def wait_for_revision(self, revision: int, timeout_s: float) -> None:
+        """Waits until the copy is complete up to a revision."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                while (
-                    self._complete_after <= revision
-                    and self._newest_revision <= revision
-                ):
+                while self.revision < revision:
                     await self._changed.wait()
--- a/packages/galenaquay/galenaquay/ports/documents.py
+++ b/packages/galenaquay/galenaquay/ports/documents.py
@@ -42,6 +42,11 @@
             wait_s: Time that the VM waits for a change, in seconds.
 
         Raises:
-            SourceError: The VM did not provide the changes.
+            SourceError: The VM did not provide the changes, or its copy is
+                not up to date.
         """
         ...
+
+    def close(self) -> None:
+        """Closes all connections."""
+        ...
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -335,20 +335,24 @@
 
 
 class RecordingSubscriber:
-    """Mirror subscriber that records the revision of each document."""
+    """Mirror subscriber that records the revision of each document.
+
+    Checks that no document goes back to an older state.
+    """
 
     def __init__(self):
         self.revision_by_key = {}
+        self._last_revision_by_key = {}
 
-    def replace_all(self, documents):
-        self.revision_by_key = {d.key: d.revision for d in documents}
+    def mark_complete(self):
+        pass
 
     def apply_change(self, change):
+        assert self._last_revision_by_key.get(change.key, 0) < change.revision
+        self._last_revision_by_key[change.key] = change.revision
         if change.document is None:
-            self.revision_by_key.pop(change.key, None)
+            del self.revision_by_key[change.key]
         else:
-            known = self.revision_by_key.get(change.key, 0)
-            assert known < change.revision
             self.revision_by_key[change.key] = change.revision
 
 
@@ -356,6 +360,7 @@
     st.one_of(
         st.tuples(st.just('write'), st.sampled_from('abc'), st.booleans()),
         st.tuples(st.just('watch'), st.integers(0, 1), st.booleans()),
+        st.tuples(st.just('list'), st.integers(0, 1), st.booleans()),
         st.tuples(st.just('ask'), st.integers(0, 1), st.booleans()),
     ),
     max_size=40,
@@ -408,6 +413,12 @@
             events.append(mirror_module.Change(target, revision, document))
         elif step == 'watch':
             read_platform(followers[target], flag)
+        elif step == 'list' and followers[target].revision:
+            followers[target].apply_listing(
+                'a',
+                [d for k, d in platform_documents.items() if k == 'a'],
+                revision,
+            )
         elif followers[target].revision:
             update_from(followers[target])
     for follower in followers:
