Answer 404 and 401 only from a fresh table

Cause: a VM may refuse for good only what it knows not to be there.

Change: both are answered only while the table was confirmed within 0.9 of the bound; later the caller gets 503 with a Retry-After and finds another VM. Works because a table confirmed within the bound holds all that must be in force.

--- a/packages/galenaquay/galenaquay/configuration/current.py
+++ b/packages/galenaquay/galenaquay/configuration/current.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from .. import clocks
+from . import freshness as freshness_module
 from . import routes as routes_module
 
 LOG: Final = logging.getLogger(__name__)
@@ -27,10 +28,12 @@
     def __init__(
         self,
         revoke_s: float,
+        freshness: freshness_module.Freshness,
         clock: Callable[[], float] = clocks.boottime_s,
     ) -> None:
         self.table = None
         self.set_revoke_s(revoke_s)
+        self._freshness = freshness
         self._clock = clock
         self._confirmed_at_s: float | None = None
         self._was_trusted = False
@@ -99,6 +102,15 @@
             return None
         return self._clock() - self._confirmed_at_s
 
+    def trusts_absence(self) -> bool:
+        """Tells whether a route or key that is not in the table is unknown.
+
+        A table that was not confirmed for some time may lack what a newer
+        version has added.
+        """
+        age_s = self.confirmation_age_s()
+        return age_s is not None and age_s < self._freshness.max_certain_age_s
+
     def trusts_keys(self) -> bool:
         """Tells whether the API keys in the table may still be accepted."""
         age_s = self.confirmation_age_s()
--- a/packages/galenaquay/galenaquay/configuration/freshness.py
+++ b/packages/galenaquay/galenaquay/configuration/freshness.py
@@ -12,6 +12,8 @@
 CHECK_SHARE: Final = 0.2
 # Age from which the documents of another VM no longer count as up to date.
 SOURCE_SHARE: Final = 0.5
+# Age from which a VM does not rely on the absence of a route or key.
+CERTAIN_SHARE: Final = 0.9
 
 
 class Freshness:
@@ -33,3 +35,8 @@
     def max_source_age_s(self) -> float:
         """Age up to which a copy is a source for others, in seconds."""
         return self._apply_s * SOURCE_SHARE
+
+    @property
+    def max_certain_age_s(self) -> float:
+        """Age up to which what is not in the copy is not there, in seconds."""
+        return self._apply_s * CERTAIN_SHARE
--- a/packages/galenaquay/galenaquay/outcomes/admission.py
+++ b/packages/galenaquay/galenaquay/outcomes/admission.py
@@ -3,18 +3,12 @@
 import asyncio
 import dataclasses
 import random
-from typing import Final
 
 from .. import ids
 from ..configuration import current as current_module
 from ..configuration import routes
 from ..ports import exchange
 
-# Maximum time since the last confirmation of the configuration, in seconds, at
-# which a request for an unknown path gets status 404. After a longer time the
-# request gets status 503, because a newer configuration may contain the path.
-UNKNOWN_PATH_MAX_AGE_S: Final = 4.0
-
 
 @dataclasses.dataclass(frozen=True)
 class AdmittedRequest:
@@ -55,7 +49,7 @@
             return Refusal(503, 'no configuration yet')
         route = table.find(request.host, request.path)
         if route is None:
-            return self._refuse_unknown_path()
+            return self._refuse_unknown(404, 'no such route')
         account = None
         if table.needs_keys and not route.is_public:
             account_or_refusal = self._find_account(table, request.key)
@@ -75,11 +69,15 @@
             min(request.deadline_s, now_s + route.timeout_s),
         )
 
-    def _refuse_unknown_path(self) -> Refusal:
-        age_s = self._current.confirmation_age_s()
-        if age_s is None or age_s > UNKNOWN_PATH_MAX_AGE_S:
+    def _refuse_unknown(self, status: int, reason: str) -> Refusal:
+        """Refuses what the configuration does not contain.
+
+        A newer configuration may contain it, so the caller is told to return
+        unless the configuration in force is certain to be the newest.
+        """
+        if not self._current.trusts_absence():
             return Refusal(503, 'stale configuration')
-        return Refusal(404, 'no such route')
+        return Refusal(status, reason)
 
     def _find_account(
         self, table: routes.RouteTable, key: ids.ApiKey | None
@@ -87,5 +85,5 @@
         if not self._current.trusts_keys():
             return Refusal(503, 'keys are stale')
         if key is None or key not in table.accounts_by_key:
-            return Refusal(401, 'unknown key')
+            return self._refuse_unknown(401, 'unknown key')
         return table.accounts_by_key[key]
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -6,6 +6,7 @@
 
 from galenaquay.adapters import fleet_grpc
 from galenaquay.configuration import current as current_module
+from galenaquay.configuration import freshness as freshness_module
 from galenaquay.configuration import mirror as mirror_module
 from galenaquay.configuration import routes
 from galenaquay.engines import directory as directory_module
@@ -30,6 +31,7 @@
     max_examples=150, deadline=None, derandomize=True, database=None
 )
 REVOKE_S = 5.0
+APPLY_S = 3.0
 # The requirements allow engine memory to stay reserved for at most 4 s after
 # the end of the last request that used the reservation.
 MAX_RESERVED_AFTER_END_S = 4.0
@@ -302,6 +304,12 @@
     )
 
 
+def make_current(clock):
+    return current_module.RouteTableInForce(
+        REVOKE_S, freshness_module.Freshness(APPLY_S), clock
+    )
+
+
 @RUNS
 @given(TRUST_STEPS, st.integers(1, 3))
 def check_keys(steps, confirmed_version):
@@ -314,7 +322,7 @@
     whose clock also advances.
     """
     now_s = 100.0
-    current = current_module.RouteTableInForce(REVOKE_S, lambda: now_s)
+    current = make_current(lambda: now_s)
     current.offer(make_table(2))
     confirmed_at_s = None
     for step, seconds in steps:
@@ -330,6 +338,9 @@
         if current.trusts_keys():
             assert confirmed_at_s is not None
             assert now_s - confirmed_at_s < REVOKE_S
+        if current.trusts_absence():
+            assert confirmed_at_s is not None
+            assert now_s - confirmed_at_s < APPLY_S
         current.offer(make_table(1))
         assert current.table.version == 2
 
@@ -713,7 +724,7 @@
             self.fleet,
             self.workload,
             cold_starts.ColdStartLimiter(clock=clock),
-            current_module.RouteTableInForce(REVOKE_S, clock),
+            make_current(clock),
             group_memory.GroupMemory(engines),
             orphaned_memory.OrphanedMemory(
                 self.me.vm_id, engines, directory, clock
