Confirm keys only with the same documents

Cause: a VM took over the confirmation of any other VM with the same version of the configuration. The version says nothing of withdrawn zones and endpoints, which are documents of their own, so the lease of keys went on while the copy that requests are placed by grew old.

Change: VMs report the revision of their newest document beside the age of their check, and a check is taken over for the whole copy, only by a copy that is complete up to that revision. An older build reports no revision and confirms nothing.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -23,6 +23,7 @@
 from .. import ids
 from .. import tasks
 from ..configuration import current as current_module
+from ..configuration import mirror as mirror_module
 from ..engines import workload as workload_module
 from ..limits import cold_starts as cold_starts_module
 from ..limits import group_memory as group_memory_module
@@ -68,6 +69,7 @@
         workload: workload_module.Workload,
         cold_starts: cold_starts_module.ColdStartLimiter,
         current: current_module.RouteTableInForce,
+        documents: mirror_module.Mirror,
         group_memory: group_memory_module.GroupMemory,
         orphans: orphaned_memory.OrphanedMemory,
     ) -> None:
@@ -76,6 +78,7 @@
         self._workload = workload
         self._cold_starts = cold_starts
         self._current = current
+        self._documents = documents
         self._group_memory = group_memory
         self._orphans = orphans
         self._report_number = 0
@@ -149,7 +152,7 @@
                 await self._workload.wait_for_change(changes)
 
     async def _send_report(self, channel: grpclib.client.Channel) -> bool:
-        asked_at_s = self._current.now_s()
+        asked_at_s = self._documents.now_s()
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 reply = await fleet_grpc.FleetStub(channel).Report(
@@ -174,8 +177,8 @@
 
         Args:
             reply: The reply.
-            asked_at_s: When the report was sent, on the clock of
-                `RouteTableInForce`, in seconds.
+            asked_at_s: When the report was sent, on the clock of `Mirror`,
+                in seconds.
         """
         sender = _member_from_message(reply.sender)
         self._fleet.record_contact(sender)
@@ -184,14 +187,14 @@
         self._fleet.merge_gossip(
             map(_gossip_entry_from_message, reply.members)
         )
-        confirmed_at_s = None
+        checked_at_s = None
         if reply.confirmed_age_ms_plus_one:
             # The other VM computed the age after this VM had sent its report,
             # so subtracting the age from the time of sending can only make
-            # the confirmation look older than it is, never newer.
+            # the check look older than it is, never newer.
             age_ms = reply.confirmed_age_ms_plus_one - 1
-            confirmed_at_s = asked_at_s - age_ms / _MS_PER_S
-        self._current.adopt_confirmation(reply.config_version, confirmed_at_s)
+            checked_at_s = asked_at_s - age_ms / _MS_PER_S
+        self._documents.adopt_check(reply.documents_revision, checked_at_s)
 
     def _apply_zone_loads(
         self, hub: fleet_module.Member, reply: fleet_pb2.LoadReply
@@ -275,7 +278,7 @@
                 self._valid_s(),
             )
         table = self._current.table
-        age_s = self._current.confirmation_age_s()
+        age_s = self._documents.checked_age_s()
         return fleet_pb2.LoadReply(
             sender=_member_message(self._fleet.me),
             members=map(
@@ -289,6 +292,7 @@
             confirmed_age_ms_plus_one=(
                 0 if age_s is None else math.ceil(age_s * _MS_PER_S) + 1
             ),
+            documents_revision=self._documents.newest_revision,
         )
 
     def _listed_members(self, number: int) -> list[fleet_module.GossipEntry]:
--- a/packages/galenaquay/galenaquay/configuration/current.py
+++ b/packages/galenaquay/galenaquay/configuration/current.py
@@ -77,22 +77,6 @@
             self._confirmed_at_s = asked_at_s
         self._confirmed_at_s = max(self._confirmed_at_s, asked_at_s)
 
-    def adopt_confirmation(
-        self, version: int, confirmed_at_s: float | None
-    ) -> None:
-        """Adopts the confirmation of another VM that has the same version.
-
-        Args:
-            version: The version that the other VM has in force.
-            confirmed_at_s: When this version was confirmed, on this VM's
-                clock. An estimate must not be later than the actual time, so
-                that no key is accepted for too long. None if the other VM has
-                no confirmation.
-        """
-        is_same = self.table is not None and self.table.version == version
-        if is_same and confirmed_at_s is not None:
-            self.confirm(confirmed_at_s)
-
     def confirmation_age_s(self) -> float | None:
         """Returns the time since the last confirmation, in seconds.
 
--- a/packages/galenaquay/galenaquay/configuration/mirror.py
+++ b/packages/galenaquay/galenaquay/configuration/mirror.py
@@ -211,6 +211,21 @@
             self._checked_at_s = asked_at_s
         self._on_checked(asked_at_s)
 
+    def adopt_check(
+        self, newest_revision: int, checked_at_s: float | None
+    ) -> None:
+        """Adopts the check of another VM whose changes this copy contains.
+
+        Args:
+            newest_revision: Highest revision of any change that the other VM
+                has; 0 if it is not known.
+            checked_at_s: When the other VM's copy was up to date, on this VM's
+                clock. An estimate must not be later than the actual time. None
+                if the other copy was never checked.
+        """
+        if checked_at_s is not None and 0 < newest_revision <= self.revision:
+            self.record_check(checked_at_s)
+
     def checked_age_s(self) -> float | None:
         """Returns the time since the copy was last known to be up to date.
 
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -312,28 +312,30 @@
 
 @RUNS
 @given(TRUST_STEPS, st.integers(1, 3))
-def check_keys(steps, confirmed_version):
+def check_keys(steps, heard_revision):
     """API keys are trusted only within REVOKE_S of a valid confirmation.
 
     A `confirm` step is a confirmation from the platform, which is always
     valid. A `hear` step is a confirmation from another VM, which is valid if
-    the confirmed version is the version of the route table in force. A `pass`
-    step advances the clock; a long `pass` step stands for a suspended VM,
-    whose clock also advances.
+    this VM's copy of the documents contains all changes that the other VM
+    knows. A `pass` step advances the clock; a long `pass` step stands for a
+    suspended VM, whose clock also advances.
     """
     now_s = 100.0
     current = make_current(lambda: now_s)
     current.offer(make_table(2))
+    copy = mirror_module.Mirror([], current.confirm, lambda: now_s)
+    copy.replace_all([], 2)
     confirmed_at_s = None
     for step, seconds in steps:
         if step == 'pass':
             now_s += seconds
         elif step == 'confirm':
-            current.confirm(now_s - seconds)
+            copy.record_check(now_s - seconds)
             confirmed_at_s = max(confirmed_at_s or 0, now_s - seconds)
         else:
-            current.adopt_confirmation(confirmed_version, now_s - seconds)
-            if confirmed_version == 2:
+            copy.adopt_check(heard_revision, now_s - seconds)
+            if heard_revision <= 2:
                 confirmed_at_s = max(confirmed_at_s or 0, now_s - seconds)
         if current.trusts_keys():
             assert confirmed_at_s is not None
@@ -720,11 +722,13 @@
         self.workload = workload_module.Workload(clock)
         engines = LossyEngines(None, [])
         directory = directory_module.Directory(clock)
+        copy = mirror_module.Mirror(clock=clock)
         self.reports = fleet_grpc.FleetReports(
             self.fleet,
             self.workload,
             cold_starts.ColdStartLimiter(clock=clock),
             make_current(clock),
+            copy,
             group_memory.GroupMemory(engines),
             orphaned_memory.OrphanedMemory(
                 self.me.vm_id, engines, directory, clock
