Ask further VMs when the copy becomes too old

What callers saw: VMs whose sources had failed answered by configurations that were 3 to 7 s old (CONFIG), although most of the fleet had the new ones.

Cause: one source at a time. A VM noticed by 0.7 s of silence that its source had failed, asked the next, then the store for 0.6 s, rested up to 1.6 s and began again, with two drawn VMs of its own zone, which followed the same first VM.

Change: beside its source, a VM whose copy is older than 0.45 of the bound asks two drawn VMs of any zone each 0.25 s, and it asks a VM that reports newer documents unless they arrive within 0.15 s. What a reply brings is used also if the sender has lost the platform meanwhile; only its age says how fresh it is.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -29,6 +29,7 @@
 from ..limits import group_memory as group_memory_module
 from ..limits import orphaned_memory
 from ..membership import fleet as fleet_module
+from ..membership import hedging
 from ..ports import reservations
 
 LOG: Final = logging.getLogger(__name__)
@@ -70,6 +71,7 @@
         cold_starts: cold_starts_module.ColdStartLimiter,
         current: current_module.RouteTableInForce,
         documents: mirror_module.Mirror,
+        hedge: hedging.DocumentHedge,
         group_memory: group_memory_module.GroupMemory,
         orphans: orphaned_memory.OrphanedMemory,
     ) -> None:
@@ -79,6 +81,7 @@
         self._cold_starts = cold_starts
         self._current = current
         self._documents = documents
+        self._hedge = hedge
         self._group_memory = group_memory
         self._orphans = orphans
         self._report_number = 0
@@ -195,6 +198,7 @@
             age_ms = reply.confirmed_age_ms_plus_one - 1
             checked_at_s = asked_at_s - age_ms / _MS_PER_S
         self._documents.adopt_check(reply.documents_revision, checked_at_s)
+        self._hedge.note_newer(sender, reply.documents_revision)
 
     def _apply_zone_loads(
         self, hub: fleet_module.Member, reply: fleet_pb2.LoadReply
--- a/packages/galenaquay/galenaquay/configuration/freshness.py
+++ b/packages/galenaquay/galenaquay/configuration/freshness.py
@@ -10,6 +10,8 @@
 # Shares of the time within which a change must be in force.
 # Interval between checks at the platform.
 CHECK_SHARE: Final = 0.2
+# Age of the copy from which a VM also asks VMs other than its source.
+HEDGE_SHARE: Final = 0.45
 # Age from which the documents of another VM no longer count as up to date.
 SOURCE_SHARE: Final = 0.5
 # Age from which a VM does not rely on the absence of a route or key.
@@ -31,6 +33,11 @@
         """Time between two checks at the platform, in seconds."""
         return self._apply_s * CHECK_SHARE
 
+    @property
+    def hedge_age_s(self) -> float:
+        """Age of the copy from which other VMs are asked, in seconds."""
+        return self._apply_s * HEDGE_SHARE
+
     @property
     def max_source_age_s(self) -> float:
         """Age up to which a copy is a source for others, in seconds."""
--- a/packages/galenaquay/galenaquay/membership/following.py
+++ b/packages/galenaquay/galenaquay/membership/following.py
@@ -24,15 +24,13 @@
 MEMBER_WAIT_S: Final = 0.3
 # Number of higher-ranked VMs that a VM asks before it asks the platform.
 RANKED_CANDIDATES: Final = 2
-# Number of further VMs, drawn at random after each failed call to the
-# platform, that a VM also asks while it backs off from the platform.
-RANDOM_CANDIDATES: Final = 2
 # Minimum time before a VM that gave no documents is asked again, in seconds.
 MEMBER_BACKOFF_S: Final = 1.0
 # Time after a failed call to the platform during which a VM asks only other
-# VMs, in seconds. It is a random value between the minimum and the maximum,
-# plus an addition for each higher-ranked VM, so that the VMs of a large fleet
-# do not all retry the platform at the same time.
+# VMs, in seconds; the module `hedging` asks more of them. It is a random value
+# between the minimum and the maximum, plus an addition for each higher-ranked
+# VM, so that the VMs of a large fleet do not all retry the platform at the
+# same time.
 PLATFORM_BACKOFF_MIN_S: Final = 0.1
 PLATFORM_BACKOFF_MAX_S: Final = 0.4
 PLATFORM_BACKOFF_PER_RANK_S: Final = 0.15
@@ -65,7 +63,6 @@
         # When a member may be asked again, by its VM and incarnation.
         self._retry_at_s: dict[tuple[ids.VmId, ids.Incarnation], float] = {}
         self._platform_retry_at_s = 0.0
-        self._random_members: list[fleet_module.Member] = []
         self._source = ''
 
     async def run(self) -> None:
@@ -101,28 +98,18 @@
 
     def _choose_member(self) -> fleet_module.Member | None:
         """Returns the VM to ask; None stands for the platform."""
-        higher, lower = self._members_by_rank()
-        candidates = higher[:RANKED_CANDIDATES]
-        if self._loop.time() < self._platform_retry_at_s:
-            # This VM does not reach the platform, and the higher-ranked VMs
-            # may not reach it either. Any other VM of the zone may reach it.
-            candidates = candidates + self._random_members
+        candidates = self._higher_members()[:RANKED_CANDIDATES]
         return next(filter(self._may_be_asked, candidates), None)
 
-    def _members_by_rank(
-        self,
-    ) -> tuple[list[fleet_module.Member], list[fleet_module.Member]]:
-        """Returns the members of the zone that rank higher and lower."""
+    def _higher_members(self) -> list[fleet_module.Member]:
+        """Returns the members of the zone that rank higher than this VM."""
         me = self._fleet.me
         members_by_id = {m.vm_id: m for m in self._fleet.zone_peers()}
         order = ranks.rank_vms(
             ranks.watch_role(me.zone), [*members_by_id, me.vm_id]
         )
         rank = order.index(me.vm_id)
-        return (
-            [members_by_id[vm_id] for vm_id in order[:rank]],
-            [members_by_id[vm_id] for vm_id in order[rank + 1 :]],
-        )
+        return [members_by_id[vm_id] for vm_id in order[:rank]]
 
     def _may_be_asked(self, member: fleet_module.Member) -> bool:
         key = (member.vm_id, member.incarnation)
@@ -195,12 +182,7 @@
                 await following
 
     def _back_off_from_platform(self, reason: str) -> None:
-        higher, lower = self._members_by_rank()
-        others = higher[RANKED_CANDIDATES:] + lower
-        self._random_members = random.sample(
-            others, min(RANDOM_CANDIDATES, len(others))
-        )
-        rank = min(len(higher), MAX_BACKOFF_RANK)
+        rank = min(len(self._higher_members()), MAX_BACKOFF_RANK)
         backoff_s = rank * PLATFORM_BACKOFF_PER_RANK_S + random.uniform(
             PLATFORM_BACKOFF_MIN_S, PLATFORM_BACKOFF_MAX_S
         )
--- a/tests/features/documents.feature
+++ b/tests/features/documents.feature
@@ -20,3 +20,8 @@
     And the zone is withdrawn
     Then a request with an API key gets 503 within bounds.revokeMs
     And a request gets 503 and no service receives it
+
+  Scenario: A zone whose entry processes all lose the store follows those of another
+    Given entry processes in the zones "ba, ba, nadi"
+    When the store is silent towards zone "ba"
+    Then each entry process accepts a new API key within 3 seconds
--- a/tests/features/steps/platform_documents_steps.py
+++ b/tests/features/steps/platform_documents_steps.py
@@ -67,25 +67,37 @@
     link.impairment.response_bytes_per_s = kb_per_s * BYTES_PER_KB
     await link.start()
     fixture.proxies.append(link)
-    return port
+    return link
+
+
+async def add_store_link(fixture, vm, kb_per_s):
+    port = fixture.port(STORE_PROXY_PORT_OFFSET + vm)
+    link = await add_link(fixture, port, fixture.port(0), kb_per_s)
+    fixture.store_ports_by_vm[vm] = port
+    return link
+
+
+async def start_vms_in(fixture, zones):
+    """Starts entry processes; returns their links to the store and zones."""
+    await kill_vm(fixture)
+    links = []
+    for vm, zone in enumerate(zones):
+        links.append((zone, await add_store_link(fixture, vm, 0)))
+        await fixture.start_vm(vm, zone=zone)
+    # Waits until the entry processes know each other.
+    await asyncio.sleep(3.0)
+    return links
 
 
 async def start_vms(fixture, vms, store_kb_per_s, peer_kb_per_s):
     """Starts entry processes behind links of limited rate."""
     await kill_vm(fixture)
     for vm in range(vms):
-        fixture.store_ports_by_vm[vm] = await add_link(
-            fixture,
-            fixture.port(STORE_PROXY_PORT_OFFSET + vm),
-            fixture.port(0),
-            store_kb_per_s,
-        )
-        fixture.peer_ports_by_vm[vm] = await add_link(
-            fixture,
-            fixture.port(PEER_PROXY_PORT_OFFSET + vm),
-            fixture.front_port(vm) + 2,
-            peer_kb_per_s,
-        )
+        await add_store_link(fixture, vm, store_kb_per_s)
+        port = fixture.port(PEER_PROXY_PORT_OFFSET + vm)
+        peer_port = fixture.front_port(vm) + 2
+        await add_link(fixture, port, peer_port, peer_kb_per_s)
+        fixture.peer_ports_by_vm[vm] = port
     await fixture.add_engine('s-nadi', support.SERVICE, 'nadi', 60)
     await asyncio.gather(*(fixture.start_vm(vm) for vm in range(vms)))
     # Waits until the entry processes know each other.
@@ -227,3 +239,18 @@
     platform_asking.run(context, restart_vm(fixture, seeds=address))
     # The report of the entry process is answered.
     platform_asking.run(context, asyncio.sleep(1.5))
+
+
+@given('entry processes in the zones "{zones}"')
+def step_zones(context, zones):
+    context.store_links = platform_asking.run(
+        context,
+        start_vms_in(platform_asking.fixture(context), zones.split(', ')),
+    )
+
+
+@when('the store is silent towards zone "{zone}"')
+def step_silent_store(context, zone):
+    for vm_zone, link in context.store_links:
+        if vm_zone == zone:
+            link.impairment.stalls_responses = True
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -18,11 +18,13 @@
 from galenaquay.limits import group_memory
 from galenaquay.limits import orphaned_memory
 from galenaquay.membership import fleet as fleet_module
+from galenaquay.membership import hedging
 from galenaquay.ports import exchange
 from galenaquay.ports import reservations
 from galenaquay.routing import placement
 from galenaquay.routing import short_set
 from galenaquay.streams import event_cutter
+from galenaquay import telemetry
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -729,6 +731,13 @@
             cold_starts.ColdStartLimiter(clock=clock),
             make_current(clock),
             copy,
+            hedging.DocumentHedge(
+                copy,
+                None,
+                self.fleet,
+                freshness_module.Freshness(APPLY_S),
+                telemetry.TextMetrics(),
+            ),
             group_memory.GroupMemory(engines),
             orphaned_memory.OrphanedMemory(
                 self.me.vm_id, engines, directory, clock
