Reject an event over the limit in one piece

Cause: only the incomplete rest was compared with the limit; each event was searched in, and copied out of, the whole rest. Now each event is compared, and one pass finds all ends.

The property large_events failed before and passes; events passes as before.

--- a/packages/galenaquay/galenaquay/streams/event_cutter.py
+++ b/packages/galenaquay/galenaquay/streams/event_cutter.py
@@ -1,17 +1,21 @@
 """Splits a byte stream into server-sent events and reads the event ids."""
 
 import dataclasses
+import re
 from typing import Final
 
-# Maximum size of an incomplete event, in bytes. A stream is aborted if more
-# bytes arrive without the end of the event.
+# Maximum size of an event, in bytes. A stream with a larger event is aborted,
+# also before the end of the event has arrived.
 MAX_EVENT_BYTES: Final = 256 * 1024
-_EVENT_ENDS: Final = (b'\n\n', b'\r\n\r\n')
+# The blank line that ends an event.
+_EVENT_END: Final = re.compile(rb'\n\n|\r\n\r\n')
+# Length of the longest such line with the line end before it, in bytes.
+_MAX_END_BYTES: Final = 4
 _ID_FIELD: Final = b'id:'
 
 
 class EventTooLongError(Exception):
-    """An incomplete event is larger than MAX_EVENT_BYTES."""
+    """An event is larger than MAX_EVENT_BYTES."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,21 +40,28 @@
 
     def __init__(self) -> None:
         self._buffer = b''
+        # Position in the buffer before which no event ends.
+        self._searched = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Adds received bytes and returns the events that are complete.
 
         Raises:
-            EventTooLongError: The incomplete event at the end is too large.
+            EventTooLongError: An event is too large, complete or not.
         """
         buffer = self._buffer + data
         events: list[Event] = []
-        while (end := _find_event_end(buffer)) > 0:
-            events.append(Event(buffer[:end], _parse_id(buffer[:end])))
-            buffer = buffer[end:]
-        if len(buffer) > MAX_EVENT_BYTES:
+        start = 0
+        for end in _EVENT_END.finditer(buffer, self._searched):
+            event = buffer[start : end.end()]
+            start = end.end()
+            if len(event) > MAX_EVENT_BYTES:
+                raise EventTooLongError
+            events.append(Event(event, _parse_id(event)))
+        if len(buffer) - start > MAX_EVENT_BYTES:
             raise EventTooLongError
-        self._buffer = buffer
+        self._buffer = buffer[start:]
+        self._searched = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
         return events
 
     def leftover(self) -> bytes:
@@ -58,15 +69,6 @@
         return self._buffer
 
 
-def _find_event_end(data: bytes) -> int:
-    ends = [
-        position + len(end)
-        for end in _EVENT_ENDS
-        if (position := data.find(end)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _parse_id(event: bytes) -> str | None:
     for line in event.splitlines():
         if line.startswith(_ID_FIELD):
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -8,6 +8,7 @@
       | memory               | Memory at engines after lost and late orders               |
       | memory_of_dead       | Memory reserved by a process that has died                 |
       | events               | Events are complete for any chunking of the stream         |
+      | large_events         | Events over the size limit for any chunking of the stream  |
       | keys                 | API keys on a VM that is isolated or suspended             |
       | documents            | Documents that two VMs forward to a third VM               |
       | cold                 | Limits of cold endpoints for 1 to 100 VMs                  |
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -285,6 +285,26 @@
     assert cutter.leftover() == b''
 
 
+@RUNS
+@given(st.integers(-2, 2), st.lists(st.integers(1, 300_000), max_size=3))
+def check_large_events(excess_bytes, cuts):
+    """EventCutter rejects an event over its limit, however it arrives."""
+    size = event_cutter.MAX_EVENT_BYTES + excess_bytes
+    data = b'a' * (size - 2) + b'\n\n'
+    cutter = event_cutter.EventCutter()
+    boundaries = [0, *sorted(min(cut, size) for cut in cuts), size]
+    found = []
+    is_rejected = False
+    for start, end in zip(boundaries, boundaries[1:], strict=False):
+        try:
+            found += cutter.feed(data[start:end])
+        except event_cutter.EventTooLongError:
+            is_rejected = True
+            break
+    assert is_rejected == (excess_bytes > 0)
+    assert is_rejected or [event.data for event in found] == [data]
+
+
 TRUST_STEPS = st.lists(
     st.one_of(
         st.tuples(st.just('pass'), st.floats(0.0, 6.0)),
