Give up answers that bring bytes without end

What callers saw, on the code before: an endless body of a plain service or of an engine's report filled the VM's memory until the time limit; informational responses without end kept an attempt until the time limit (4 s for 504); an engine that sent a byte each 0.1 s and never an event held a stream that could have been resumed until its time limit. Headers and events without end were given up already.

Cause: what is read was limited by the time for the next byte, not by its size or by its progress. Now a response that is kept whole has at most 4 MiB, a report 1 MiB, a head 16 informational responses, and a stream's time-out counts from its last event. This also holds for the product's own clients of engines and services.

The soak draws the same faults as before.

--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -48,6 +48,28 @@
     ENCODED = 'encoded'
     # Responds 503 with `X-Not-Executed` before the engine reads the body.
     EARLY_RESPONSE = 'early'
+    # Executes the request and sends bytes until the client disconnects: a
+    # header, informational responses, a body without a length, or a stream
+    # without the end of an event.
+    ENDLESS_HEADER = 'endless header'
+    ENDLESS_INFORMATIONAL = 'endless informational'
+    ENDLESS_BODY = 'endless body'
+    ENDLESS_EVENT = 'endless event'
+    # Like `ENDLESS_EVENT`, but with a pause after each byte.
+    SLOW_ENDLESS_EVENT = 'slow endless event'
+
+
+ENDLESS_FAULTS: Final = frozenset(
+    (
+        Fault.ENDLESS_HEADER,
+        Fault.ENDLESS_INFORMATIONAL,
+        Fault.ENDLESS_BODY,
+        Fault.ENDLESS_EVENT,
+        Fault.SLOW_ENDLESS_EVENT,
+    )
+)
+# Pause between two bytes of `Fault.SLOW_ENDLESS_EVENT`, in seconds.
+SLOW_BYTE_INTERVAL_S: Final = 0.1
 
 
 @dataclasses.dataclass
@@ -94,6 +116,8 @@
         # Number of complete events sent before `Fault.PARTIAL_EVENT` applies.
         self.events_before_reset = 3
         self.received: list[ReceivedRequest] = []
+        # Bytes sent by the faults that end only when the client disconnects.
+        self.endless_bytes = 0
         self.orders: list[dict[str, Any]] = []
         # Whether the engine carries out orders without responding to them.
         self.drops_order_responses = False
@@ -267,6 +291,9 @@
             await disconnect
             request.client_disconnected = True
             return False
+        if fault in ENDLESS_FAULTS:
+            await self._send_without_end(request, fault, writer, disconnect)
+            return False
         if self.events:
             return await self._send_stream(request, fault, writer, disconnect)
         return self._send_plain(request, fault, writer)
@@ -287,6 +314,43 @@
         lines.append('X-Engine-Load: 1,0,8')
         return '\r\n'.join(lines).encode() + _HEAD_END
 
+    async def _send_without_end(
+        self,
+        request: ReceivedRequest,
+        fault: Fault,
+        writer: asyncio.StreamWriter,
+        disconnect: 'asyncio.Future[bytes]',
+    ) -> None:
+        """Sends bytes until the client disconnects."""
+        stream = self._format_head(
+            request,
+            fault,
+            'Content-Type: text/event-stream\r\nConnection: close',
+        )
+        start, filler = {
+            Fault.ENDLESS_HEADER: (b'HTTP/1.1 200 OK\r\nX: ', b'a' * 4096),
+            Fault.ENDLESS_INFORMATIONAL: (
+                b'',
+                b'HTTP/1.1 103 Early Hints\r\n\r\n' * 100,
+            ),
+            Fault.ENDLESS_BODY: (
+                self._format_head(request, fault, 'Connection: close'),
+                b'a' * 4096,
+            ),
+            Fault.ENDLESS_EVENT: (stream, b'a' * 4096),
+            Fault.SLOW_ENDLESS_EVENT: (stream, b'a'),
+        }[fault]
+        is_slow = fault is Fault.SLOW_ENDLESS_EVENT
+        writer.write(start)
+        try:
+            while not disconnect.done():
+                self.endless_bytes += len(filler)
+                writer.write(filler)
+                await writer.drain()
+                await asyncio.sleep(SLOW_BYTE_INTERVAL_S if is_slow else 0.0)
+        finally:
+            request.client_disconnected = True
+
     def _send_plain(
         self,
         request: ReceivedRequest,
--- a/packages/galenaquay/galenaquay/adapters/engine_http.py
+++ b/packages/galenaquay/galenaquay/adapters/engine_http.py
@@ -12,6 +12,7 @@
 
 from .. import codes
 from .. import ids
+from . import limited_bodies
 from ..limits import ledger
 from ..ports import engine as engine_port
 from ..streams import events
@@ -23,6 +24,8 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 # Timeout for an engine's load or holdings report, in seconds.
 REPORT_TIMEOUT_S: Final = 1.0
+# Largest size of such a report, in bytes.
+MAX_REPORT_BYTES: Final = 1024 * 1024
 # Timeout for an engine to confirm a cancellation, in seconds.
 CANCEL_TIMEOUT_S: Final = 0.5
 # Limit on the connections to all engines together; 0 disables the limit, since
@@ -224,7 +227,9 @@
                     return codes.failure(
                         codes.Code.ENGINE_BROKE, f'answered {response.status}'
                     )
-                body: dict[str, Any] = orjson.loads(await response.read())
+                body: dict[str, Any] = orjson.loads(
+                    await limited_bodies.read(response, MAX_REPORT_BYTES)
+                )
                 return body
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             return _engine_failure(exc)
--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -32,6 +32,8 @@
 # Limit on the status line and headers of a response, in bytes; a response
 # beyond it is treated as broken.
 MAX_HEAD_BYTES: Final = 64 * 1024
+# Maximum number of informational responses (status 1xx) before a response.
+MAX_INFORMATIONAL: Final = 16
 
 
 class Codec(Protocol):
@@ -125,6 +127,17 @@
         ) from exc
 
 
+async def _read_head(
+    parser: h11.Connection, reader: asyncio.StreamReader
+) -> object:
+    """Returns the first event that is no informational response."""
+    for _ in range(MAX_INFORMATIONAL + 1):
+        event = await _next_event(parser, reader)
+        if not isinstance(event, h11.InformationalResponse):
+            return event
+    raise exchange.ExchangeBrokenError('too many informational responses')
+
+
 class HttpExchange:
     """Sends requests to endpoints, one connection per request."""
 
@@ -171,9 +184,7 @@
             return exchange.SendError(exchange.Failure.NOT_SENT, str(exc))
         writer.write(data)
         try:
-            event = await _next_event(parser, reader)
-            while isinstance(event, h11.InformationalResponse):
-                event = await _next_event(parser, reader)
+            event = await _read_head(parser, reader)
         except exchange.ExchangeBrokenError as exc:
             return exchange.SendError(exchange.Failure.BROKEN, str(exc))
         if not isinstance(event, h11.Response):
--- a/packages/galenaquay/galenaquay/adapters/service_http.py
+++ b/packages/galenaquay/galenaquay/adapters/service_http.py
@@ -1,11 +1,18 @@
 """HTTP client for services; implements the port `ports.services`."""
 
+from typing import Final
+
 import aiohttp
 
 from .. import codes
 from . import engine_http
+from . import limited_bodies
 from ..ports import services as services_port
 
+# Largest size of a service's response, in bytes. The response is kept in
+# memory until it is complete.
+MAX_RESPONSE_BYTES: Final = 4 * 1024 * 1024
+
 
 class HttpServices:
     """HTTP client for services, by URL."""
@@ -52,7 +59,7 @@
             ) as response:
                 return services_port.ServiceResponse(
                     response.status,
-                    await response.read(),
+                    await limited_bodies.read(response, MAX_RESPONSE_BYTES),
                     response.content_type,
                 )
         except (
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -51,6 +51,9 @@
 # because no connection could be established, after which the caller gets an
 # error.
 MAX_UNSENT_ATTEMPTS: Final = 4
+# Maximum size of a response that is not a stream, in bytes. Such a response is
+# kept in memory until it is complete.
+MAX_WHOLE_RESPONSE_BYTES: Final = 4 * 1024 * 1024
 # Weight of a rejected request in the endpoint's failure statistics; other
 # failures have weight 1.
 REJECTION_WEIGHT: Final = 0.5
@@ -85,6 +88,18 @@
     return await anext(body, None)
 
 
+async def _read_whole(response: exchange.Response) -> bytes:
+    """Returns the body; raises ExchangeBrokenError if it is too large."""
+    parts: list[bytes] = []
+    size = 0
+    async for data in response.body():
+        size += len(data)
+        if size > MAX_WHOLE_RESPONSE_BYTES:
+            raise exchange.ExchangeBrokenError('the body is too large')
+        parts.append(data)
+    return b''.join(parts)
+
+
 class _AttemptFailedError(Exception):
     """An attempt failed; `error` holds the cause."""
 
@@ -337,8 +352,7 @@
             _AttemptFailedError: The status is 5xx and the request may be sent
                 again.
         """
-        parts = [data async for data in response.body()]
-        body = b''.join(parts)
+        body = await _read_whole(response)
         took_s = self._loop.time() - sent_s
         if response.head.status >= 500:
             self._error_response = (response.head, body)
@@ -385,9 +399,10 @@
         cutter = event_cutter.EventCutter()
         body = response.body()
         has_first_event = False
+        event_at_s = self._loop.time()
         while True:
             data = await self._read_stream_data(
-                body, placement, has_first_event
+                body, placement, has_first_event, event_at_s
             )
             if data is None:
                 break
@@ -396,6 +411,7 @@
             except event_cutter.EventTooLongError:
                 raise exchange.ExchangeBrokenError('event too long') from None
             for event in events:
+                event_at_s = self._loop.time()
                 if not has_first_event:
                     has_first_event = True
                     self._record_first_event(placement, jobs, sent_s)
@@ -412,12 +428,20 @@
         body: AsyncIterator[bytes],
         placement: placement_module.Placement,
         has_first_event: bool,
+        event_at_s: float,
     ) -> bytes | None:
         """Returns the next data of a stream, None at the end of the body.
 
+        Args:
+            body: The body of the stream.
+            placement: The endpoints of this attempt.
+            has_first_event: Whether an event has arrived.
+            event_at_s: When the last event arrived, on the clock of the event
+                loop; before the first event, when the head arrived.
+
         Raises:
-            _AttemptFailedError: No data arrived within the timeout and another
-                attempt is allowed.
+            _AttemptFailedError: No event arrived within the timeout and
+                another attempt is allowed.
         """
         timeout_s = None
         if self._has_more_attempts():
@@ -427,6 +451,8 @@
             )
             if not has_first_event:
                 timeout_s = self._first_byte_timeout_s(placement)
+        if timeout_s is not None:
+            timeout_s = max(0.0, event_at_s + timeout_s - self._loop.time())
         read_task = asyncio.ensure_future(_read_next(body))
         try:
             await asyncio.wait([read_task], timeout=timeout_s)
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -119,6 +119,43 @@
     Given the limits are 400 ms for request headers and 2000 ms of idle time
     Then 5 requests sent 600 ms apart on one connection are answered
 
+  Scenario Outline: Bytes without end from an endpoint end the attempt early
+    Given each service applies the fault "<fault>" to its next request
+    When a timed POST request is sent to "/once/x"
+    Then the response arrives after 0 to 2 seconds
+    And the response has status 502
+    And the endpoints sent at most 20 MB without end
+
+    Examples:
+      | fault                 |
+      | endless header        |
+      | endless informational |
+      | endless body          |
+
+  Scenario Outline: A stream that brings no event is tried at another engine
+    Given the first engine to run a request applies the fault "<fault>"
+    When a stream is requested on "/ask/x"
+    Then the caller receives every event once and in order
+    And the response is complete
+    And the endpoints sent at most 20 MB without end
+
+    Examples:
+      | fault              |
+      | endless header     |
+      | endless event      |
+      | slow endless event |
+
+  Scenario Outline: A response without end to <client> is given up
+    Given a server whose responses have no end
+    When <client> calls the server
+    Then the call fails and the server sent at most 20 MB
+
+    Examples:
+      | client                       |
+      | the client of reservations   |
+      | the client of engine reports |
+      | the client of services       |
+
   Scenario: An endpoint that never responds gives 504 at the route timeout
     Given each service applies the fault "mute" to its next request
     When a timed POST request is sent to "/brief/x"
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -11,6 +11,8 @@
 from tests import platform_asking
 from tests import platform_support as support
 
+BYTES_PER_MB = 1_000_000
+
 
 @given('each service applies the fault "{fault}" to its next request')
 def step_service_fault(context, fault):
@@ -47,14 +49,34 @@
 
 @given('the first engine to run a request disconnects inside an event')
 def step_disconnect_in_event(context):
-    # step_stream clears the faults once an engine has run a request, so only
-    # the first engine disconnects.
+    step_first_engine_fault(context, sealed_engine.Fault.PARTIAL_EVENT.value)
+
+
+@given('the first engine to run a request applies the fault "{fault}"')
+def step_first_engine_fault(context, fault):
+    # The engines share the list, so that only the first one takes the fault.
+    shared_faults = [sealed_engine.Fault(fault)]
     for engine in platform_asking.fixture(context).engines_by_name.values():
         if engine.service == support.POOL:
-            engine.faults = [sealed_engine.Fault.PARTIAL_EVENT]
+            engine.faults = shared_faults
     context.torn = True
 
 
+@then('the endpoints sent at most {megabytes:d} MB without end')
+def step_endless_bytes(context, megabytes):
+    engines = platform_asking.fixture(context).engines_by_name.values()
+    platform_asking.run(context, asyncio.sleep(0.3))
+    assert any(engine.endless_bytes for engine in engines)
+    for engine in engines:
+        assert engine.endless_bytes <= megabytes * BYTES_PER_MB
+    assert all(
+        request.client_disconnected
+        for engine in engines
+        for request in engine.executed_requests()
+        if engine.endless_bytes
+    )
+
+
 @when('"{target}" is requested with unusual headers')
 def step_unusual_headers(context, target):
     context.target = target
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -64,7 +64,11 @@
 @fault
 async def spoil_answers(world, rng, duration_s):
     engine = world.engines_by_name[rng.choice(sorted(world.engines_by_name))]
-    kinds = [k for k in sealed_engine.Fault if k.name != 'ENCODED']
+    kinds = [
+        k
+        for k in sealed_engine.Fault
+        if k.name != 'ENCODED' and k not in sealed_engine.ENDLESS_FAULTS
+    ]
     engine.faults = [rng.choice(kinds) for _ in range(rng.randint(1, 4))]
 
 
