Remove two unused constants and an unused step

HOME_ROUND_TRIP_S, DESIGN_PEERS and 'a lookup is sent to entry process' are used nowhere; found by comparing all constants and step patterns with their uses.

--- a/packages/galenaquay/galenaquay/outcomes/service_calls.py
+++ b/packages/galenaquay/galenaquay/outcomes/service_calls.py
@@ -21,8 +21,6 @@
 from ..routing import candidates
 from . import tickets
 
-# Time for the round trip to a ticket's home, in seconds.
-HOME_ROUND_TRIP_S: Final = 0.25
 # Delay before the first retry, in seconds. The delay doubles with each retry,
 # and each sleep lasts a random 50 to 100 percent of the delay.
 RETRY_DELAY_S: Final = 0.05
--- a/packages/galenaquayctl/galenaquayctl/benches/control.py
+++ b/packages/galenaquayctl/galenaquayctl/benches/control.py
@@ -24,7 +24,6 @@
 DESIGN_ACCOUNTS: Final = 4200
 DESIGN_NODES: Final = 390
 DESIGN_ZONES: Final = 11
-DESIGN_PEERS: Final = DESIGN_NODES / DESIGN_ZONES - 1
 DESIGN_ENGINES_PER_NODE: Final = DESIGN_ENDPOINTS / DESIGN_NODES
 # Limits for one idle node at the design size: share of one core, resident
 # memory in bytes, and bytes per second sent and received.
--- a/tests/features/steps/service_steps.py
+++ b/tests/features/steps/service_steps.py
@@ -112,17 +112,6 @@
     )
 
 
-@when('a lookup is sent to entry process {vm:d}')
-def send_lookup(context, vm):
-    fleet = support.fleet_of(context)
-    context.outcomes = [
-        support.run(
-            context,
-            call_service(fleet, vm, 'lookup', support.auth_headers(context)),
-        )
-    ]
-
-
 @then('the call was executed {count:d} time')
 @then('the call was executed {count:d} times')
 def check_runs(context, count):
