--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -277,6 +277,10 @@
     When an entry process gets SIGHUP repeatedly during its start
     Then the entry process becomes ready within 5 seconds of the last SIGHUP
 
+  Scenario: SIGHUP before the signal handler is installed is not lost
+    When an entry process gets SIGHUP right after it has read its settings
+    Then the second entry process logs "settings reloaded"
+
   Scenario: A reload applies changed seeds
     Given a second entry process whose seeds do not answer
     When the second entry process reloads settings with the first one as its seed
--- a/tests/features/steps/platform_life_steps.py
+++ b/tests/features/steps/platform_life_steps.py
@@ -128,9 +128,9 @@
     async def run_step():
         await platform_asking.fixture(context).start_vm(1, wait=False)
         process = platform_asking.fixture(context).processes[1]
-        # SIGHUP ends the process until its Python code ignores the signal.
+        # SIGHUP ends the process until its Python code blocks the signal.
         await platform_asking.fixture(context).wait_until(
-            lambda: ignores_reload(process), 5.0
+            lambda: blocks_reload(process), 5.0
         )
         assert platform_asking.fixture(context).log(1) == ''
         while '"started"' not in platform_asking.fixture(context).log(1):
@@ -141,6 +141,37 @@
     platform_asking.run(context, run_step())
 
 
+# Starts an entry process that gets SIGHUP right after reading its settings.
+START_WITH_RELOAD = """
+import os, signal
+from galenaquay_platform import __main__ as entry, settings
+read_settings = settings.load_settings
+def read_and_signal(*args, **kwargs):
+    settings.load_settings = read_settings
+    found = read_settings(*args, **kwargs)
+    os.kill(os.getpid(), signal.SIGHUP)
+    return found
+settings.load_settings = read_and_signal
+entry.main()
+"""
+
+
+@when('an entry process gets SIGHUP right after it has read its settings')
+def step_reload_after_reading(context):
+    fixture = platform_asking.fixture(context)
+    platform_asking.run(
+        context, fixture.start_vm(1, program=('-c', START_WITH_RELOAD))
+    )
+
+
+@then('the second entry process logs "{message}"')
+def step_second_logs(context, message):
+    fixture = platform_asking.fixture(context)
+    platform_asking.run(
+        context, fixture.wait_until(lambda: message in fixture.log(1), 2.0)
+    )
+
+
 def change_settings(context, vm=0, is_signalled=True, **changes):
     platform_asking.fixture(context).write_settings(vm, **changes)
     if is_signalled:
@@ -217,13 +248,13 @@
     assert platform_asking.run(context, run_step()) == 0
 
 
-def ignores_reload(process):
-    """Returns whether the kernel reports SIGHUP as ignored by a process."""
+def blocks_reload(process):
+    """Returns whether the kernel reports SIGHUP as blocked by a process."""
     status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
     mask = next(
         line.split()[1]
         for line in status.splitlines()
-        if line.startswith('SigIgn')
+        if line.startswith('SigBlk')
     )
     return bool(int(mask, 16) >> (signal.SIGHUP - 1) & 1)
 
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -256,13 +256,14 @@
         path.write_text('\n'.join(lines) + '\n')
         return path
 
-    async def start_vm(self, vm=0, wait=True, **changes):
+    async def start_vm(
+        self, vm=0, wait=True, program=('-m', 'galenaquay_platform'), **changes
+    ):
         path = self.write_settings(vm, **changes)
         with (self.folder / f'vm{vm}.log').open('ab') as log:
             self.processes[vm] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                '-m',
-                'galenaquay_platform',
+                *program,
                 f'--announce=127.0.0.1:{self.peer_port(vm)}',
                 env={**os.environ, 'GALENAQUAY_CONFIG': str(path)},
                 stdout=log,
