Split the properties by topic

Properties of copied documents, of fleets and of reserved memory stand in modules of their own; none differs.

--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -9,8 +9,17 @@
 from galenaquay_platform import headers
 from galenaquay_platform import orders
 from galenaquay_platform import serve
+from tests.properties import document_properties
+from tests.properties import fleet_properties
+from tests.properties import memory_properties
 from tests.properties import path_properties
 
+PROPERTY_MODULES = (
+    document_properties,
+    fleet_properties,
+    memory_properties,
+    path_properties,
+)
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 PRODUCT = ROOT / 'packages' / 'galenaquay' / 'galenaquay'
 # Layers from top to bottom. A module imports only from its own layer and from
@@ -36,6 +45,7 @@
     'adapters/exchange_http',
     'adapters/fleet_grpc',
     'adapters/forward_front',
+    'adapters/mirror_grpc',
     'adapters/timed_connections',
     'outcomes/admission',
     'outcomes/forwarding',
@@ -47,6 +57,8 @@
     'limits/cold_starts',
     'limits/group_memory',
     'membership/fleet',
+    'membership/following',
+    'membership/hedging',
     'streams/event_cutter',
     'streams/event_relay',
     'ports/exchange',
@@ -55,14 +67,22 @@
     'engines/reliability',
     'engines/usual_times',
     'engines/workload',
+    'configuration/compression',
     'configuration/current',
+    'configuration/freshness',
+    'configuration/mirror',
     'configuration/routes',
 )
 
 
 @then('the property "{name}" holds')
 def step_property(context, name):
-    getattr(path_properties, f'check_{name}')()
+    (check,) = (
+        getattr(module, f'check_{name}')
+        for module in PROPERTY_MODULES
+        if hasattr(module, f'check_{name}')
+    )
+    check()
 
 
 def platform_names():
