Guard streams whose caller pauses

A stream's time-out now counts from its last event, so a caller that does not read must not make it run out: what has arrived meanwhile is read first. The scenario (16 MB of events, a pause of 3 s) passes; it was green at once and is a guard, not the proof of a fault. The stand-in's engines can send large events.

--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -84,6 +84,8 @@
     has_run: bool = False
     # Whether the client disconnected before the response was complete.
     client_disconnected: bool = False
+    # On the monotonic clock, in seconds.
+    received_at_s: float = dataclasses.field(default_factory=time.monotonic)
 
 
 @dataclasses.dataclass
@@ -109,6 +111,8 @@
         self.advertised_port = port
         # Number of events in a stream; 0 for a plain service.
         self.events = events
+        # Size of the filler in each event of a stream, in bytes.
+        self.event_filler_bytes = 0
         # Time between two events of a stream, in seconds.
         self.event_interval_s = 0.01
         self.body = b'{"ok":true}'
@@ -386,7 +390,8 @@
         )
         first = int(request.headers.get('last-event-id', -1)) + 1
         for number in range(first, self.events):
-            event = b'id: %d\ndata: piece %d\n\n' % (number, number)
+            filler = b'a' * self.event_filler_bytes
+            event = b'id: %d\ndata: piece %d%s\n\n' % (number, number, filler)
             if (
                 fault is Fault.PARTIAL_EVENT
                 and number == first + self.events_before_reset
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -156,6 +156,12 @@
       | the client of engine reports |
       | the client of services       |
 
+  Scenario: A stream whose caller pauses stays at its engine
+    Given each engine sends 80 events of 200000 bytes, one every 0.01 seconds
+    When a caller of "/ask/x" stops reading for 3 seconds
+    Then the caller received 80 events
+    And the engines executed 1 requests
+
   Scenario: An endpoint that never responds gives 504 at the route timeout
     Given each service applies the fault "mute" to its next request
     When a timed POST request is sent to "/brief/x"
--- a/tests/features/steps/platform_slow_callers_steps.py
+++ b/tests/features/steps/platform_slow_callers_steps.py
@@ -1,6 +1,7 @@
 """Steps that simulate slow callers."""
 
 import asyncio
+import socket
 import time
 
 from behave import given
@@ -10,6 +11,8 @@
 from tests import platform_asking
 from tests import platform_support as support
 
+SMALL_BUFFER_BYTES = 65536
+
 
 def publish_and_wait(context, **changes):
     """Publishes a configuration and waits until the first VM applies it."""
@@ -124,3 +127,66 @@
         writer.transport.abort()
 
     platform_asking.run(context, run_step())
+
+
+@given(
+    'each engine sends {count:d} events of {size:d} bytes, one every '
+    '{seconds:g} seconds'
+)
+def step_large_events(context, count, size, seconds):
+    for engine in platform_asking.fixture(context).engines_by_name.values():
+        if engine.events:
+            engine.events = count
+            engine.event_filler_bytes = size
+            engine.event_interval_s = seconds
+
+
+async def read_to_end(reader):
+    """Returns the rest of a response in chunked encoding."""
+    data = b''
+    while not data.endswith(b'\r\n0\r\n\r\n'):
+        part = await reader.read(SMALL_BUFFER_BYTES)
+        assert part, 'the response is incomplete'
+        data += part
+    return data
+
+
+@when('a caller of "{target}" stops reading for {seconds:g} seconds')
+def step_pausing_caller(context, target, seconds):
+    async def run_step():
+        sock = socket.socket()
+        # A small buffer, so that the entry process notices the pause.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+        )
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        port = platform_asking.fixture(context).front_port()
+        await loop.sock_connect(sock, ('127.0.0.1', port))
+        reader, writer = await asyncio.open_connection(
+            sock=sock, limit=SMALL_BUFFER_BYTES
+        )
+        lines = [
+            f'POST {target} HTTP/1.1',
+            f'Host: {support.HOST}',
+            f'Authorization: Bearer {support.KEY}',
+            'X-Attempt-Id: 1f',
+            'X-Deadline-Ms: 8000',
+            'X-Token-Counts: 5000,500',
+            'Content-Length: 0',
+        ]
+        writer.write('\r\n'.join([*lines, '', '']).encode())
+        await reader.readexactly(1)
+        await asyncio.sleep(seconds)
+        try:
+            async with asyncio.timeout(8.0):
+                return await read_to_end(reader)
+        finally:
+            writer.transport.abort()
+
+    context.stream = platform_asking.run(context, run_step())
+
+
+@then('the caller received {count:d} events')
+def step_event_count(context, count):
+    assert context.stream.count(b'id: ') == count
