Check new keys and withdrawn zones in the soak

The soak replaced keys and withdrew zones, and checked only that a removed key stops. Now no VM may answer 401 for a key that was published more than 3 s before the request was sent, and no request sent more than revokeMs after the withdrawal of a zone may run there before its return, from any VM, whatever it has lost: one that may not know must refuse with 503. Zones are withdrawn twice as long, since most withdrawals ended before the bound.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,9 @@
 FAULTS_BY_NAME = {}
 # Shortest and longest duration of a fault, in seconds.
 FAULT_DURATION_S = (0.3, 2.5)
+# A zone is withdrawn for this multiple of the duration, as VMs may take some
+# time to follow.
+WITHDRAWAL_FACTOR = 2.0
 
 
 def fault(function):
@@ -134,14 +137,15 @@
 async def replace_key(world, rng, duration_s):
     world.revoked_at_s[world.key] = time.monotonic()
     world.key = f'key-{world.version}'
+    world.published_at_s[world.key] = time.monotonic()
     world.publish(keys=[world.key])
 
 
 @fault
 async def withdraw_zone(world, rng, duration_s):
-    world.store.put('op/evacuate/nadi', {})
-    await asyncio.sleep(duration_s)
-    world.store.remove('op/evacuate/nadi')
+    world.withdraw_zone()
+    await asyncio.sleep(duration_s * WITHDRAWAL_FACTOR)
+    world.return_zone()
 
 
 @fault
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -18,6 +18,8 @@
 # memory, plus a margin for the test machine, in seconds.
 RECOVERY_S = 12.0
 MEMORY_RELEASE_S = 5.0
+# Time within which a new configuration must be in force, in seconds.
+APPLY_S = 3.0
 # Time after the time limit of a request at which the soak fails because the
 # request hangs, in seconds. Applies only while no fault affects the VM.
 HANG_MARGIN_S = 1.5
@@ -69,6 +71,19 @@
             world.revoked_at_s,
             support.REVOKE_S,
         )
+        promises.check_new_keys(
+            sent, world.published_at_s, world.revoked_at_s, APPLY_S
+        )
+        promises.check_withdrawals(
+            sent,
+            [
+                engine
+                for engine in world.engines_by_name.values()
+                if engine.zone == worlds.WITHDRAWN_ZONE
+            ],
+            world.withdrawals,
+            support.REVOKE_S,
+        )
     finally:
         await world.close()
     response_counts = collections.Counter(
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -87,6 +87,54 @@
         )
 
 
+def check_new_keys(sent, published_at_s, revoked_at_s, apply_s):
+    """Checks that no VM refuses a key for good that it must know.
+
+    Holds for each VM: one that may lack the newest configuration must not
+    answer 401.
+    """
+    for request in sent:
+        if request.answer is None or request.answer.status != 401:
+            continue
+        age_s = request.sent_at_s - published_at_s[request.key]
+        is_revoked = revoked_at_s.get(request.key, request.ended_at_s) < (
+            request.ended_at_s
+        )
+        if age_s > apply_s and not is_revoked:
+            raise PromiseError(
+                f'{request.id} got 401 from vm-{request.vm} for a key that '
+                f'was published {age_s:.2f} s before'
+            )
+
+
+def check_withdrawals(sent, engines, withdrawals, bound_s):
+    """Checks that requests keep away from a withdrawn zone after a bound.
+
+    Holds for each VM: one that may not know of the withdrawal no longer
+    accepts API keys.
+
+    Args:
+        sent: the requests of all clients.
+        engines: the engines and services of the zone.
+        withdrawals: start and end of each withdrawal of the zone.
+        bound_s: time within which the zone must be left alone.
+    """
+    sent_by_id = {request.id: request for request in sent}
+    for engine in engines:
+        for received in engine.executed_requests():
+            request = sent_by_id[received.headers['x-attempt-id']]
+            for start_s, end_s in withdrawals:
+                if (
+                    request.sent_at_s > start_s + bound_s
+                    and received.received_at_s < end_s
+                ):
+                    raise PromiseError(
+                        f'{request.id} from vm-{request.vm} ran in a zone '
+                        f'that was withdrawn '
+                        f'{request.sent_at_s - start_s:.2f} s before'
+                    )
+
+
 def check_run_count(request, runs):
     """Checks how often a request ran.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,6 +1,7 @@
 """Fleet of VM processes, engines and a store, connected by proxies."""
 
 import signal
+import time
 
 from galenaquay_standins import sealed_engine
 from tests import platform_support as support
@@ -11,6 +12,7 @@
 ENGINE_PROXY_PORT_OFFSET = 300
 STORE_PROXY_PORT_OFFSET = 400
 MEMBER_PROXY_PORT_OFFSET = 410
+WITHDRAWN_ZONE = 'nadi'
 VMS = 3
 ENGINES = 4
 SERVICES = 3
@@ -33,6 +35,11 @@
         self.fault_counts_by_vm = dict.fromkeys(range(VMS), 0)
         self.key = support.KEY
         self.revoked_at_s = {}
+        # Time at which each key was published, by key.
+        self.published_at_s = {support.KEY: time.monotonic()}
+        # Start and end of each withdrawal of the zone WITHDRAWN_ZONE.
+        self.withdrawals = []
+        self._withdrawn_at_s = None
 
     def store_port(self, vm):
         return self.port(STORE_PROXY_PORT_OFFSET + vm)
@@ -53,7 +60,7 @@
         await self.start(ENGINES, SERVICES, VMS, EVENTS)
 
     async def add_engine(self, name, service, zone, offset, events=0):
-        zone = 'nadi' if offset % 2 else zone
+        zone = WITHDRAWN_ZONE if offset % 2 else zone
         engine = sealed_engine.SealedEngine(
             name, service, zone, self.port(offset), events
         )
@@ -71,6 +78,17 @@
         """Counts a fault that affects a VM."""
         self.fault_counts_by_vm[vm] += 1
 
+    def withdraw_zone(self):
+        self.store.put(f'op/evacuate/{WITHDRAWN_ZONE}', {})
+        if self._withdrawn_at_s is None:
+            self._withdrawn_at_s = time.monotonic()
+
+    def return_zone(self):
+        if self._withdrawn_at_s is not None:
+            self.withdrawals.append((self._withdrawn_at_s, time.monotonic()))
+            self._withdrawn_at_s = None
+        self.store.remove(f'op/evacuate/{WITHDRAWN_ZONE}')
+
     def check_running(self, vm):
         """Raises promises.PromiseError if a VM process has exited."""
         status = self.processes[vm].returncode
