--- a/tests/support.py
+++ b/tests/support.py
@@ -106,3 +106,13 @@
 def read_cases(name):
     path = pathlib.Path(__file__).parent / 'cases' / f'{name}.yaml'
     return yaml.safe_load(path.read_text())
+
+
+def publish_and_wait(context):
+    """Publishes the configuration and waits until it is in force."""
+    fleet = fleet_of(context)
+    version = run(context, fleet.publish_config())
+    assert run(
+        context,
+        wait_until(lambda: is_config_in_force(fleet, version)),
+    )
