--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -43,7 +43,7 @@
     """
     rng = random.Random(seed)
     world = worlds.SoakWorld(folder, base_port)
-    sent, fault_counts, running = [], collections.Counter(), set()
+    sent, fault_counts, running, clients = [], collections.Counter(), set(), []
     try:
         await world.open()
         until_s = time.monotonic() + seconds
@@ -85,6 +85,10 @@
             support.REVOKE_S,
         )
     finally:
+        # A fault that is still running could start a process after `close`.
+        for task in (*running, *clients):
+            task.cancel()
+        await asyncio.gather(*running, *clients, return_exceptions=True)
         await world.close()
     response_counts = collections.Counter(
         request.answer.status if request.answer else 0 for request in sent
