--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -114,4 +114,11 @@
     fleet = context.shared.get('fleet')
     if fleet is not None:
         context.loop.run_until_complete(fleet.stop())
+    # Requests that a stand-in never answers are still pending.
+    pending = asyncio.all_tasks(context.loop)
+    for task in pending:
+        task.cancel()
+    context.loop.run_until_complete(
+        asyncio.gather(*pending, return_exceptions=True)
+    )
     context.loop.close()
