Log which requests an ended engine had

After a broken attempt at an engine one connection is opened; if it is refused, the line "engine ended" and a counter say so, with the parts and the time since the first event.

--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -13,11 +13,15 @@
 
 import h11
 
+from ..engines import directory
 from ..ports import exchange
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for connecting to an endpoint, in seconds.
 CONNECT_TIMEOUT_S: Final = 0.25
+# Time within which the host of an ended process refuses a connection, in
+# seconds.
+REFUSAL_TIMEOUT_S: Final = 0.05
 # TCP options that detect dead peers. The connection fails if sent data remains
 # unacknowledged, or keepalive probes on an idle connection unanswered, for
 # TCP_USER_TIMEOUT_MS; on Linux this timeout takes precedence over
@@ -167,6 +171,24 @@
             writer.transport.abort()
         return response
 
+    async def has_ended(self, endpoint: directory.Endpoint) -> bool:
+        """Returns whether the host refuses connections to an endpoint.
+
+        An endpoint that does not respond in time may be cut off or frozen, so
+        it does not count as ended.
+        """
+        try:
+            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(
+                    endpoint.host, endpoint.port
+                )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.transport.abort()
+        return False
+
     async def _exchange(
         self,
         request: exchange.Request,
--- a/packages/galenaquay/galenaquay/ids.py
+++ b/packages/galenaquay/galenaquay/ids.py
@@ -17,3 +17,5 @@
 ServiceName = NewType('ServiceName', str)
 # Credential with which a caller authenticates as a client account.
 ApiKey = NewType('ApiKey', str)
+# Id of a part of a prompt that other prompts may share.
+PromptPartId = NewType('PromptPartId', str)
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -17,6 +17,7 @@
 from .. import telemetry
 from . import admission
 from ..configuration import current as current_module
+from ..engines import directory as directory_module
 from ..engines import reliability as reliability_module
 from ..engines import usual_times as usual_times_module
 from ..engines import workload as workload_module
@@ -139,6 +140,8 @@
             writer, admitted.request.last_event_id
         )
         self._first_event_s: float | None = None
+        # When the first event of the current attempt arrived.
+        self._writing_since_s: float | None = None
 
     def _time_left_s(self) -> float:
         return self._admitted.deadline_s - self._loop.time()
@@ -180,6 +183,7 @@
             await self._reserve_and_send(placement, jobs)
         except _AttemptFailedError as exc:
             self._record_failure(placement, exc.error)
+            await self._check_ended(placement.endpoint, exc.error)
             return not await self._check_retry(exc.error)
         finally:
             for endpoint_id, job in jobs:
@@ -235,6 +239,7 @@
         jobs: list[tuple[ids.EndpointId, workload_module.Job]],
     ) -> None:
         self._attempts += 1
+        self._writing_since_s = None
         self._dependencies.placer.note_sent(self._admitted.service, placement)
         self._log_placement(placement)
         if not placement.part_tokens:
@@ -473,6 +478,7 @@
         sent_s: float,
     ) -> None:
         took_s = self._loop.time() - sent_s
+        self._writing_since_s = self._loop.time()
         self._record_success(placement, took_s)
         self._first_event_s = self._loop.time() - self._started_s
         self._dependencies.metrics.observe(
@@ -523,6 +529,34 @@
             },
         )
 
+    async def _check_ended(
+        self, endpoint: directory_module.Endpoint, error: exchange.SendError
+    ) -> None:
+        """Logs whether the engine ended while it had the request."""
+        if (
+            error.failure is not exchange.Failure.BROKEN
+            or self._admitted.service.engine is None
+            or not await self._dependencies.exchange.has_ended(endpoint)
+        ):
+            return
+        writing_s = None
+        if self._writing_since_s is not None:
+            writing_s = round(self._loop.time() - self._writing_since_s, 4)
+        self._dependencies.metrics.count(
+            'requests_lost_to_engine_ends', writing=writing_s is not None
+        )
+        LOG.info(
+            'engine ended',
+            extra={
+                'request_id': self._request.id,
+                'endpoint': endpoint.id,
+                'started_at_ms': endpoint.started_at_ms,
+                'attempt': self._attempts,
+                'shared_parts': self._request.shared_parts,
+                'writing_s': writing_s,
+            },
+        )
+
     async def _check_retry(self, error: exchange.SendError) -> bool:
         """Decides whether a failed attempt is followed by another one.
 
@@ -588,6 +622,7 @@
                 'endpoint': placement.endpoint.id,
                 'helpers': [helper.id for helper in placement.helpers],
                 'prompt_tokens': self._request.prompt_tokens,
+                'shared_parts': self._request.shared_parts,
                 'expected_s': round(placement.first_event_s, 4),
                 'loss': round(placement.loss, 3),
                 'time_left_s': round(self._time_left_s(), 3),
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -39,6 +39,9 @@
     # Id of the last event that the caller has received of the stream; None if
     # the request starts a new stream.
     last_event_id: str | None = None
+    # Parts of the prompt that other prompts may share, in order; without the
+    # last part, which belongs to this request or its session.
+    shared_parts: tuple[ids.PromptPartId, ...] = ()
 
     @property
     def path(self) -> str:
@@ -164,6 +167,10 @@
         """Sends a request once and waits for the response headers."""
         ...
 
+    async def has_ended(self, endpoint: directory.Endpoint) -> bool:
+        """Returns whether no process listens at an endpoint's address."""
+        ...
+
 
 class ResponseWriter(Protocol):
     """Writes the response to a caller."""
