Split the messages of load reports off

The functions that convert between messages and values are a module of their own now; nothing else changes.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-from collections.abc import Iterable
 import contextlib
 import logging
 import math
@@ -25,12 +24,12 @@
 from ..configuration import current as current_module
 from ..configuration import mirror as mirror_module
 from ..engines import workload as workload_module
+from . import fleet_messages
 from ..limits import cold_starts as cold_starts_module
 from ..limits import group_memory as group_memory_module
 from ..limits import orphaned_memory
 from ..membership import fleet as fleet_module
 from ..membership import hedging
-from ..ports import reservations
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for the reply to a report, in seconds.
@@ -183,12 +182,12 @@
             asked_at_s: When the report was sent, on the clock of `Mirror`,
                 in seconds.
         """
-        sender = _member_from_message(reply.sender)
+        sender = fleet_messages.member_from_message(reply.sender)
         self._fleet.record_contact(sender)
         if not self._fleet.is_mesh():
             self._apply_zone_loads(sender, reply)
         self._fleet.merge_gossip(
-            map(_gossip_entry_from_message, reply.members)
+            map(fleet_messages.gossip_entry_from_message, reply.members)
         )
         checked_at_s = None
         if reply.confirmed_age_ms_plus_one:
@@ -208,7 +207,7 @@
             return
         self._workload.replace_peer_loads(
             _zone_key(hub.zone),
-            _loads_from_messages(reply.loads),
+            fleet_messages.loads_from_messages(reply.loads),
             self._valid_s(),
         )
 
@@ -236,11 +235,11 @@
         """Returns the next load report of this VM."""
         self._report_number += 1
         return fleet_pb2.LoadReport(
-            sender=_member_message(self._fleet.me),
+            sender=fleet_messages.member_message(self._fleet.me),
             number=self._report_number,
             leaving=self.is_leaving,
             loads=[
-                _load_message(endpoint_id, load)
+                fleet_messages.load_message(endpoint_id, load)
                 for endpoint_id, load in self._workload.own_loads().items()
             ],
             reservations=[
@@ -259,7 +258,7 @@
         A report is ignored unless its number is higher than that of every
         report applied before from the same process.
         """
-        sender = _member_from_message(report.sender)
+        sender = fleet_messages.member_from_message(report.sender)
         key = (sender.vm_id, sender.incarnation)
         if report.number > self._last_number_by_process.get(key, 0):
             self._last_number_by_process[key] = report.number
@@ -272,24 +271,28 @@
             if self._fleet.is_mesh() or sender.zone == self._fleet.me.zone:
                 self._workload.replace_peer_loads(
                     sender.vm_id,
-                    _loads_from_messages(report.loads),
+                    fleet_messages.loads_from_messages(report.loads),
                     self._valid_s(),
                 )
             self._orphans.record_report(
                 sender.vm_id,
                 sender.incarnation,
-                map(_reservation_from_message, report.reservations),
+                map(
+                    fleet_messages.reservation_from_message,
+                    report.reservations,
+                ),
                 self._valid_s(),
             )
         table = self._current.table
         age_s = self._documents.checked_age_s()
         return fleet_pb2.LoadReply(
-            sender=_member_message(self._fleet.me),
+            sender=fleet_messages.member_message(self._fleet.me),
             members=map(
-                _gossip_entry_message, self._listed_members(report.number)
+                fleet_messages.gossip_entry_message,
+                self._listed_members(report.number),
             ),
             loads=[
-                _load_message(endpoint_id, load)
+                fleet_messages.load_message(endpoint_id, load)
                 for endpoint_id, load in self._loads_for(sender).items()
             ],
             config_version=table.version if table is not None else 0,
@@ -331,92 +334,3 @@
 def _zone_key(zone: ids.ZoneName) -> ids.VmId:
     """Returns the key in `Workload` of the total loads of a zone."""
     return ids.VmId(f'zone {zone}')
-
-
-def _loads_from_messages(
-    messages: Iterable[fleet_pb2.EndpointLoad],
-) -> dict[ids.EndpointId, workload_module.EndpointLoad]:
-    return {
-        ids.EndpointId(message.endpoint_id): _load_from_message(message)
-        for message in messages
-    }
-
-
-def _reservation_from_message(
-    message: fleet_pb2.Reservation,
-) -> orphaned_memory.ReportedReservation:
-    return orphaned_memory.ReportedReservation(
-        ids.EndpointId(message.endpoint_id),
-        reservations.ReservationId(message.id),
-    )
-
-
-def _member_from_message(message: fleet_pb2.Member) -> fleet_module.Member:
-    return fleet_module.Member(
-        ids.VmId(message.vm_id),
-        ids.Incarnation(message.incarnation),
-        message.address,
-        ids.ZoneName(message.zone),
-    )
-
-
-def _member_message(member: fleet_module.Member) -> fleet_pb2.Member:
-    return fleet_pb2.Member(
-        vm_id=member.vm_id,
-        incarnation=member.incarnation,
-        address=member.address,
-        zone=member.zone,
-    )
-
-
-def _gossip_entry_from_message(
-    message: fleet_pb2.Member,
-) -> fleet_module.GossipEntry:
-    return fleet_module.GossipEntry(
-        _member_from_message(message), message.silent_ms / _MS_PER_S
-    )
-
-
-def _gossip_entry_message(entry: fleet_module.GossipEntry) -> fleet_pb2.Member:
-    message = _member_message(entry.member)
-    message.silent_ms = int(entry.silent_s * _MS_PER_S)
-    return message
-
-
-def _load_message(
-    endpoint_id: ids.EndpointId, load: workload_module.EndpointLoad
-) -> fleet_pb2.EndpointLoad:
-    return fleet_pb2.EndpointLoad(
-        endpoint_id=endpoint_id,
-        running=load.running,
-        read_ms=int(load.prefill_s * _MS_PER_S),
-        memory_tokens=load.memory_tokens,
-        writers=[
-            fleet_pb2.Writers(
-                max_gap_ms=int(group.max_gap_s * _MS_PER_S),
-                count=group.count,
-                value=group.value,
-            )
-            for group in load.decoding_groups
-        ],
-        helping=load.helper_parts,
-        read_urgency=load.prefill_urgency,
-    )
-
-
-def _load_from_message(
-    message: fleet_pb2.EndpointLoad,
-) -> workload_module.EndpointLoad:
-    return workload_module.EndpointLoad(
-        message.running,
-        message.read_ms / _MS_PER_S,
-        message.memory_tokens,
-        tuple(
-            workload_module.DecodingGroup(
-                group.max_gap_ms / _MS_PER_S, group.count, group.value
-            )
-            for group in message.writers
-        ),
-        message.helping,
-        message.read_urgency,
-    )
--- /dev/null
+++ b/packages/galenaquay/galenaquay/adapters/fleet_messages.py
@@ -0,0 +1,111 @@
+"""Converts between the messages of load reports and typed values."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from galenaquay_api import fleet_pb2
+
+from .. import ids
+from ..engines import workload as workload_module
+from ..limits import orphaned_memory
+from ..membership import fleet as fleet_module
+from ..ports import reservations
+
+_MS_PER_S: Final = 1000
+
+
+def loads_from_messages(
+    messages: Iterable[fleet_pb2.EndpointLoad],
+) -> dict[ids.EndpointId, workload_module.EndpointLoad]:
+    """Decodes the loads of a report or reply, by endpoint."""
+    return {
+        ids.EndpointId(message.endpoint_id): load_from_message(message)
+        for message in messages
+    }
+
+
+def reservation_from_message(
+    message: fleet_pb2.Reservation,
+) -> orphaned_memory.ReportedReservation:
+    """Decodes a reservation."""
+    return orphaned_memory.ReportedReservation(
+        ids.EndpointId(message.endpoint_id),
+        reservations.ReservationId(message.id),
+    )
+
+
+def member_from_message(message: fleet_pb2.Member) -> fleet_module.Member:
+    """Decodes a member."""
+    return fleet_module.Member(
+        ids.VmId(message.vm_id),
+        ids.Incarnation(message.incarnation),
+        message.address,
+        ids.ZoneName(message.zone),
+    )
+
+
+def member_message(member: fleet_module.Member) -> fleet_pb2.Member:
+    """Encodes a member."""
+    return fleet_pb2.Member(
+        vm_id=member.vm_id,
+        incarnation=member.incarnation,
+        address=member.address,
+        zone=member.zone,
+    )
+
+
+def gossip_entry_from_message(
+    message: fleet_pb2.Member,
+) -> fleet_module.GossipEntry:
+    """Decodes a member of a list of members."""
+    return fleet_module.GossipEntry(
+        member_from_message(message), message.silent_ms / _MS_PER_S
+    )
+
+
+def gossip_entry_message(entry: fleet_module.GossipEntry) -> fleet_pb2.Member:
+    """Encodes a member of a list of members."""
+    message = member_message(entry.member)
+    message.silent_ms = int(entry.silent_s * _MS_PER_S)
+    return message
+
+
+def load_message(
+    endpoint_id: ids.EndpointId, load: workload_module.EndpointLoad
+) -> fleet_pb2.EndpointLoad:
+    """Encodes the load of one endpoint."""
+    return fleet_pb2.EndpointLoad(
+        endpoint_id=endpoint_id,
+        running=load.running,
+        read_ms=int(load.prefill_s * _MS_PER_S),
+        memory_tokens=load.memory_tokens,
+        writers=[
+            fleet_pb2.Writers(
+                max_gap_ms=int(group.max_gap_s * _MS_PER_S),
+                count=group.count,
+                value=group.value,
+            )
+            for group in load.decoding_groups
+        ],
+        helping=load.helper_parts,
+        read_urgency=load.prefill_urgency,
+    )
+
+
+def load_from_message(
+    message: fleet_pb2.EndpointLoad,
+) -> workload_module.EndpointLoad:
+    """Decodes the load of one endpoint."""
+    return workload_module.EndpointLoad(
+        message.running,
+        message.read_ms / _MS_PER_S,
+        message.memory_tokens,
+        tuple(
+            workload_module.DecodingGroup(
+                group.max_gap_ms / _MS_PER_S, group.count, group.value
+            )
+            for group in message.writers
+        ),
+        message.helping,
+        message.read_urgency,
+    )
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -44,6 +44,7 @@
 REQUEST_MODULES = (
     'adapters/exchange_http',
     'adapters/fleet_grpc',
+    'adapters/fleet_messages',
     'adapters/forward_front',
     'adapters/mirror_grpc',
     'adapters/timed_connections',
