Keep prompts away that crash engines

Cause: a broken connection was put down to the engine alone, and the request was sent on to the next one, by retries here, by callers, and by all other VMs. The evidence, one part in the unbegun requests of every end, lay scattered over VMs.

Change: limits/quarantine.py derives the parts to blame from the ends of engines and from answers; load reports carry both, each change once, and whole to a VM that has just started. A blamed part is checked before each attempt: 503 if the request has reached no engine, 502 if one ended under it. Sound requests that share caller, first part or engine go on.

--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import enum
 import itertools
@@ -115,6 +116,8 @@
         self.event_filler_bytes = 0
         # Time between two events of a stream, in seconds.
         self.event_interval_s = 0.01
+        # Time from the head of a stream to its first event, in seconds.
+        self.event_delay_s = 0.0
         self.body = b'{"ok":true}'
         self.faults: list[Fault] = []
         # Number of complete events sent before `Fault.PARTIAL_EVENT` applies.
@@ -122,11 +125,17 @@
         self.received: list[ReceivedRequest] = []
         # Bytes sent by the faults that end only when the client disconnects.
         self.endless_bytes = 0
+        # Id of a part of prompts that ends this engine as it begins to answer.
+        self.deadly_part = ''
+        # Called when the engine has ended by itself.
+        self.on_end: Callable[[], None] = lambda: None
+        self.has_ended = False
         self.orders: list[dict[str, Any]] = []
         # Whether the engine carries out orders without responding to them.
         self.drops_order_responses = False
         self.reservations_by_id: dict[str, Reservation] = {}
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         self._numbers = itertools.count()
 
     def store_entry(self, state: str = 'ready') -> dict[str, Any]:
@@ -153,6 +162,15 @@
         if self._server is not None:
             self._server.close()
 
+    def end(self) -> None:
+        """Ends like a crashed process, with all connections."""
+        self.has_ended = True
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self.on_end()
+
     def executed_requests(self) -> list[ReceivedRequest]:
         """Returns the requests that the engine executed."""
         return [request for request in self.received if request.has_run]
@@ -169,12 +187,14 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while await self._serve_request(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_request(
@@ -226,6 +246,11 @@
             disconnect.cancel()
             await asyncio.wait([disconnect])
 
+    def _is_deadly(self, request: ReceivedRequest) -> bool:
+        parts = request.headers.get('x-prompt-prefix', '').split(',')
+        shared = [part.partition(':')[0].strip() for part in parts[:-1]]
+        return self.deadly_part in shared
+
     def _handle_order(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
@@ -388,6 +413,11 @@
                 'Transfer-Encoding: chunked',
             )
         )
+        if self._is_deadly(request):
+            await writer.drain()
+            self.end()
+            return False
+        await asyncio.sleep(self.event_delay_s)
         first = int(request.headers.get('last-event-id', -1)) + 1
         for number in range(first, self.events):
             filler = b'a' * self.event_filler_bytes
--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -19,9 +19,6 @@
 LOG: Final = logging.getLogger(__name__)
 # Timeout for connecting to an endpoint, in seconds.
 CONNECT_TIMEOUT_S: Final = 0.25
-# Time within which the host of an ended process refuses a connection, in
-# seconds.
-REFUSAL_TIMEOUT_S: Final = 0.05
 # TCP options that detect dead peers. The connection fails if sent data remains
 # unacknowledged, or keepalive probes on an idle connection unanswered, for
 # TCP_USER_TIMEOUT_MS; on Linux this timeout takes precedence over
@@ -178,7 +175,7 @@
         it does not count as ended.
         """
         try:
-            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(
                     endpoint.host, endpoint.port
                 )
--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -8,7 +8,9 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 import contextlib
+import dataclasses
 import logging
 import math
 from typing import Any, Final
@@ -28,8 +30,10 @@
 from ..limits import cold_starts as cold_starts_module
 from ..limits import group_memory as group_memory_module
 from ..limits import orphaned_memory
+from ..limits import quarantine as quarantine_module
 from ..membership import fleet as fleet_module
 from ..membership import hedging
+from ..membership import revisions as revisions_module
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for the reply to a report, in seconds.
@@ -60,6 +64,20 @@
 _MS_PER_S: Final = 1000
 
 
+@dataclasses.dataclass
+class Progress:
+    """How far this VM and one other have told each other their changes."""
+
+    # The other VM's process that the revisions refer to.
+    incarnation: ids.Incarnation = ids.Incarnation(0)
+    # Revision of the other process up to which its changes are known here.
+    seen_revision: int = 0
+    # Own revision up to which the other process knows the changes, and the one
+    # up to which the report under way contains them.
+    sent_revision: int = 0
+    pending_revision: int = 0
+
+
 class FleetReports:
     """Sends this VM's load reports and handles those of other VMs."""
 
@@ -73,6 +91,8 @@
         hedge: hedging.DocumentHedge,
         group_memory: group_memory_module.GroupMemory,
         orphans: orphaned_memory.OrphanedMemory,
+        revisions: revisions_module.Revisions,
+        quarantine: quarantine_module.Quarantine,
     ) -> None:
         self.is_leaving = False
         self._fleet = fleet
@@ -83,6 +103,8 @@
         self._hedge = hedge
         self._group_memory = group_memory
         self._orphans = orphans
+        self._revisions = revisions
+        self._quarantine = quarantine
         self._report_number = 0
         self._last_number_by_process: dict[tuple[ids.VmId, int], int] = {}
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
@@ -118,11 +140,12 @@
         """Sends reports to one address until the task is cancelled."""
         host, _, port = address.rpartition(':')
         channel = grpclib.client.Channel(host, int(port))
+        progress = Progress()
         try:
             while True:
                 changes = self._workload.changes
                 urgent = self._workload.urgent_changes
-                if not await self._send_report(channel):
+                if not await self._send_report(channel, progress):
                     # A channel whose peer stopped responding may never
                     # recover, so the next report takes a new channel.
                     channel.close()
@@ -153,12 +176,14 @@
             ):
                 await self._workload.wait_for_change(changes)
 
-    async def _send_report(self, channel: grpclib.client.Channel) -> bool:
+    async def _send_report(
+        self, channel: grpclib.client.Channel, progress: Progress
+    ) -> bool:
         asked_at_s = self._documents.now_s()
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 reply = await fleet_grpc.FleetStub(channel).Report(
-                    self.own_report()
+                    self.own_report(progress)
                 )
         except (
             OSError,
@@ -169,11 +194,14 @@
         ) as exc:
             LOG.debug('no reply to the load report: %s', exc)
             return False
-        self.handle_reply(reply, asked_at_s)
+        self.handle_reply(reply, asked_at_s, progress)
         return True
 
     def handle_reply(
-        self, reply: fleet_pb2.LoadReply, asked_at_s: float
+        self,
+        reply: fleet_pb2.LoadReply,
+        asked_at_s: float,
+        progress: Progress,
     ) -> None:
         """Applies the reply to a load report.
 
@@ -181,9 +209,19 @@
             reply: The reply.
             asked_at_s: When the report was sent, on the clock of `Mirror`,
                 in seconds.
+            progress: The progress with the VM that replied; updated.
         """
         sender = fleet_messages.member_from_message(reply.sender)
         self._fleet.record_contact(sender)
+        self._apply_changes(reply.prompt_parts)
+        is_same_process = progress.incarnation == sender.incarnation
+        # A process that has started since the last reply knows nothing of what
+        # the earlier process was told.
+        progress.sent_revision = (
+            progress.pending_revision if is_same_process else 0
+        )
+        progress.incarnation = sender.incarnation
+        progress.seen_revision = reply.revision
         if not self._fleet.is_mesh():
             self._apply_zone_loads(sender, reply)
         self._fleet.merge_gossip(
@@ -199,6 +237,14 @@
         self._documents.adopt_check(reply.documents_revision, checked_at_s)
         self._hedge.note_newer(sender, reply.documents_revision)
 
+    def _apply_changes(
+        self, prompt_parts: Iterable[fleet_pb2.PromptPart]
+    ) -> None:
+        """Applies what another VM reports as changes."""
+        self._quarantine.merge(
+            map(fleet_messages.part_from_message, prompt_parts)
+        )
+
     def _apply_zone_loads(
         self, hub: fleet_module.Member, reply: fleet_pb2.LoadReply
     ) -> None:
@@ -231,9 +277,14 @@
             excluded.update(map(_zone_key, self._fleet.zones()))
         return self._workload.loads_excluding(excluded)
 
-    def own_report(self) -> fleet_pb2.LoadReport:
-        """Returns the next load report of this VM."""
+    def own_report(self, progress: Progress) -> fleet_pb2.LoadReport:
+        """Returns the next load report of this VM to another one.
+
+        Args:
+            progress: The progress with the other VM; updated.
+        """
         self._report_number += 1
+        progress.pending_revision = self._revisions.newest
         return fleet_pb2.LoadReport(
             sender=fleet_messages.member_message(self._fleet.me),
             number=self._report_number,
@@ -248,6 +299,12 @@
                 )
                 for held in self._group_memory.active_reservations()
             ],
+            prompt_parts=map(
+                fleet_messages.part_message,
+                self._quarantine.reports_after(progress.sent_revision),
+            ),
+            seen_revision=progress.seen_revision,
+            seen_incarnation=progress.incarnation,
         )
 
     def handle_report(
@@ -283,6 +340,13 @@
                 ),
                 self._valid_s(),
             )
+        newest_before = self._revisions.newest
+        self._apply_changes(report.prompt_parts)
+        if self._revisions.newest != newest_before and self._fleet.is_hub():
+            self._workload.note_urgent_change()
+        seen_revision = 0
+        if report.seen_incarnation == self._fleet.me.incarnation:
+            seen_revision = report.seen_revision
         table = self._current.table
         age_s = self._documents.checked_age_s()
         return fleet_pb2.LoadReply(
@@ -300,6 +364,11 @@
                 0 if age_s is None else math.ceil(age_s * _MS_PER_S) + 1
             ),
             documents_revision=self._documents.newest_revision,
+            prompt_parts=map(
+                fleet_messages.part_message,
+                self._quarantine.reports_after(seen_revision),
+            ),
+            revision=self._revisions.newest,
         )
 
     def _listed_members(self, number: int) -> list[fleet_module.GossipEntry]:
--- a/packages/galenaquay/galenaquay/adapters/fleet_messages.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_messages.py
@@ -1,6 +1,7 @@
 """Converts between the messages of load reports and typed values."""
 
 from collections.abc import Iterable
+import math
 from typing import Final
 
 from galenaquay_api import fleet_pb2
@@ -8,6 +9,7 @@
 from .. import ids
 from ..engines import workload as workload_module
 from ..limits import orphaned_memory
+from ..limits import quarantine
 from ..membership import fleet as fleet_module
 from ..ports import reservations
 
@@ -109,3 +111,49 @@
         message.helping,
         message.read_urgency,
     )
+
+
+def _age_ms(age_s: float) -> int:
+    """Returns an age in milliseconds, at least 0."""
+    return max(0, math.floor(age_s * _MS_PER_S))
+
+
+def part_message(part: quarantine.ReportedPart) -> fleet_pb2.PromptPart:
+    """Encodes what is known of a part of prompts."""
+    return fleet_pb2.PromptPart(
+        part_id=part.part_id,
+        ends=[
+            fleet_pb2.EngineEnd(
+                engine_run=end.engine_run,
+                sent_age_ms=_age_ms(end.sent_age_s),
+                ended_age_ms=_age_ms(end.ended_age_s),
+            )
+            for end in part.ends
+        ],
+        cleared_age_ms_plus_one=(
+            0
+            if part.cleared_age_s is None
+            else _age_ms(part.cleared_age_s) + 1
+        ),
+    )
+
+
+def part_from_message(
+    message: fleet_pb2.PromptPart,
+) -> quarantine.ReportedPart:
+    """Decodes what another VM knows of a part of prompts."""
+    cleared_age_s = None
+    if message.cleared_age_ms_plus_one:
+        cleared_age_s = (message.cleared_age_ms_plus_one - 1) / _MS_PER_S
+    return quarantine.ReportedPart(
+        ids.PromptPartId(message.part_id),
+        tuple(
+            quarantine.ReportedEnd(
+                quarantine.EngineRun(end.engine_run),
+                end.sent_age_ms / _MS_PER_S,
+                end.ended_age_ms / _MS_PER_S,
+            )
+            for end in message.ends
+        ),
+        cleared_age_s,
+    )
--- a/packages/galenaquay/galenaquay/engines/workload.py
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -130,6 +130,15 @@
         self.changes += 1
         if job.prefill_s >= URGENT_PREFILL_S:
             self.urgent_changes += 1
+        self._wake()
+
+    def note_urgent_change(self) -> None:
+        """Has a report sent to other VMs at once."""
+        self.changes += 1
+        self.urgent_changes += 1
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -23,6 +23,7 @@
 from ..engines import workload as workload_module
 from ..limits import attempt_budget
 from ..limits import group_memory
+from ..limits import quarantine as quarantine_module
 from ..ports import exchange
 from ..ports import reservations
 from . import refusals
@@ -83,6 +84,7 @@
     rng: random.Random
     usual_times: usual_times_module.UsualTimes
     lifetime: Lifetime
+    quarantine: quarantine_module.Quarantine
 
 
 async def _read_next(body: AsyncIterator[bytes]) -> bytes | None:
@@ -142,6 +144,11 @@
         self._first_event_s: float | None = None
         # When the first event of the current attempt arrived.
         self._writing_since_s: float | None = None
+        # Whether the current attempt has shown that the prompt does not crash
+        # its engine.
+        self._is_answered = False
+        # When the current attempt was sent, on the clock of the quarantine.
+        self._sent_at_s = 0.0
 
     def _time_left_s(self) -> float:
         return self._admitted.deadline_s - self._loop.time()
@@ -166,6 +173,12 @@
         Returns:
             Whether the request has ended; False if another attempt follows.
         """
+        blamed = self._dependencies.quarantine.find_blamed(
+            self._request.shared_parts
+        )
+        if blamed:
+            await self._refuse_quarantined(blamed)
+            return True
         placement = self._place()
         if placement is None:
             await self._give_up('no endpoint can take it', 502)
@@ -190,6 +203,24 @@
                 self._dependencies.workload.remove(endpoint_id, job)
         return True
 
+    async def _refuse_quarantined(
+        self, blamed: frozenset[ids.PromptPartId]
+    ) -> None:
+        self._dependencies.metrics.count('quarantined')
+        LOG.info(
+            'prompt quarantined',
+            extra={
+                'request_id': self._request.id,
+                'attempts': self._attempts,
+                'blamed_parts': sorted(blamed),
+            },
+        )
+        await self._give_up(
+            'the prompt crashes engines',
+            502,
+            refusals.QUARANTINE_RETRY_AFTER_S,
+        )
+
     def _ends_after_shutdown(
         self, placement: placement_module.Placement
     ) -> bool:
@@ -240,6 +271,8 @@
     ) -> None:
         self._attempts += 1
         self._writing_since_s = None
+        self._is_answered = False
+        self._sent_at_s = self._dependencies.quarantine.now_s()
         self._dependencies.placer.note_sent(self._admitted.service, placement)
         self._log_placement(placement)
         if not placement.part_tokens:
@@ -420,14 +453,29 @@
                 if not has_first_event:
                     has_first_event = True
                     self._record_first_event(placement, jobs, sent_s)
+                else:
+                    self._check_answered()
                 await self._relay.pass_on(response.head, event)
         if cutter.leftover():
             raise exchange.ExchangeBrokenError('ended inside an event')
         if not self._writer.is_started:
             await self._writer.start(response.head)
         await self._writer.finish()
+        self._dependencies.quarantine.record_answer(self._request.shared_parts)
         self._log_end('answered', status=response.head.status)
 
+    def _check_answered(self) -> None:
+        """Records that the engine writes an answer, once it has for a time."""
+        assert self._writing_since_s is not None
+        writing_s = self._loop.time() - self._writing_since_s
+        if not self._is_answered and (
+            writing_s >= quarantine_module.BEGINNING_S
+        ):
+            self._is_answered = True
+            self._dependencies.quarantine.record_answer(
+                self._request.shared_parts
+            )
+
     async def _read_stream_data(
         self,
         body: AsyncIterator[bytes],
@@ -532,7 +580,10 @@
     async def _check_ended(
         self, endpoint: directory_module.Endpoint, error: exchange.SendError
     ) -> None:
-        """Logs whether the engine ended while it had the request."""
+        """Records that the engine ended, if it did, while it had the request.
+
+        A prompt whose answer had begun for some time did not cause the end.
+        """
         if (
             error.failure is not exchange.Failure.BROKEN
             or self._admitted.service.engine is None
@@ -556,6 +607,10 @@
                 'writing_s': writing_s,
             },
         )
+        if writing_s is None or writing_s < quarantine_module.BEGINNING_S:
+            self._dependencies.quarantine.record_end(
+                endpoint, self._request.shared_parts, self._sent_at_s
+            )
 
     async def _check_retry(self, error: exchange.SendError) -> bool:
         """Decides whether a failed attempt is followed by another one.
@@ -583,13 +638,20 @@
         await self._give_up(f'{error.failure.value}: {error.detail}', 502)
         return False
 
-    async def _give_up(self, reason: str, status: int) -> None:
+    async def _give_up(
+        self, reason: str, status: int, retry_after_s: float | None = None
+    ) -> None:
         """Ends a request for which no further attempt is made.
 
         Aborts a response that the caller has already begun to receive.
         Otherwise sends the latest 5xx response of an endpoint. If no endpoint
         sent one, sends an error: `status` if the request may have run, 503
         with a Retry-After time if the request certainly did not run.
+
+        Args:
+            reason: The reason, for the log and the caller.
+            status: The status if the request may have run.
+            retry_after_s: The Retry-After time, in seconds; None draws one.
         """
         if self._writer.is_started:
             self._writer.abort()
@@ -604,7 +666,8 @@
             await self._writer.refuse(status, reason)
             self._log_end('failed', status=status, reason=reason)
             return
-        retry_after_s = refusals.draw_retry_after_s(self._dependencies.rng)
+        if retry_after_s is None:
+            retry_after_s = refusals.draw_retry_after_s(self._dependencies.rng)
         await self._writer.refuse(503, reason, retry_after_s)
         self._log_end('refused', status=503, reason=reason)
 
--- a/packages/galenaquay/galenaquay/outcomes/refusals.py
+++ b/packages/galenaquay/galenaquay/outcomes/refusals.py
@@ -7,6 +7,9 @@
 # refused callers do not all retry at the same moment.
 RETRY_AFTER_MIN_S: Final = 0.2
 RETRY_AFTER_MAX_S: Final = 0.7
+# Retry-After time of prompts that crash engines, in seconds. They stay refused
+# for much longer than callers of other refused requests should wait.
+QUARANTINE_RETRY_AFTER_S: Final = 60.0
 
 
 def draw_retry_after_s(rng: random.Random) -> float:
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -22,6 +22,10 @@
       | no_herd              | Eight VMs place long prompts at the same time              |
       | overload_is_refused  | Requests that no engine can start in time are refused      |
       | leaving_stays_gone   | A VM that shuts down while other VMs still list it         |
+      | deadly_part_is_kept_out | A part of prompts that crashes engines                  |
+      | sound_parts_stay_free | Parts of sound prompts while engines crash by themselves  |
+      | indistinguishable_parts | Parts that were in the same prompts whenever an engine ended |
+      | quarantine_spreads   | Ends of engines that few of sixty VMs have seen            |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- /dev/null
+++ b/tests/features/quarantine.feature
@@ -0,0 +1,17 @@
+@platform
+Feature: Prompts that crash engines
+
+  Scenario: A part of prompts that crashes engines is kept from the engines by all VMs
+    Given 6 additional engines that come back 0.6 seconds after a crash
+    And a part of prompts that crashes each engine that begins to answer it
+    When two more entry processes start
+    And prompts with the part are sent to all VMs until five engines have crashed or 12 prompts were sent
+    And a VM starts and 1.5 seconds pass
+    Then of 12 prompts with the part, sent to all VMs, at most 3 reach an engine
+    And prompts with the part get 503 and are told to return much later
+    And prompts that share the key and the first part are answered
+
+  Scenario: A prompt is sent again after its engine has crashed by itself
+    Given 6 additional engines that come back 0.6 seconds after a crash
+    When each of three engines crashes while it has prompts with the same part
+    Then prompts with the part are answered
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -13,12 +13,14 @@
 from tests.properties import fleet_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
+from tests.properties import quarantine_properties
 
 PROPERTY_MODULES = (
     document_properties,
     fleet_properties,
     memory_properties,
     path_properties,
+    quarantine_properties,
 )
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 PRODUCT = ROOT / 'packages' / 'galenaquay' / 'galenaquay'
@@ -57,9 +59,11 @@
     'limits/attempt_budget',
     'limits/cold_starts',
     'limits/group_memory',
+    'limits/quarantine',
     'membership/fleet',
     'membership/following',
     'membership/hedging',
+    'membership/revisions',
     'streams/event_cutter',
     'streams/event_relay',
     'ports/exchange',
--- /dev/null
+++ b/tests/features/steps/platform_quarantine_steps.py
@@ -0,0 +1,162 @@
+"""Steps for prompts with parts that crash engines."""
+
+import asyncio
+import itertools
+
+from behave import given
+from behave import then
+from behave import when
+
+from tests import platform_asking
+from tests import platform_support as support
+
+DEADLY = 'dead01'
+FIRST = 'aa01'
+CRASHES = 5
+
+
+def engines_of(context):
+    engines = platform_asking.fixture(context).engines_by_name.values()
+    return [engine for engine in engines if engine.service == support.POOL]
+
+
+def crashes(context):
+    return sum(engine.has_ended for engine in engines_of(context))
+
+
+def prompts_received(context, part):
+    return [
+        request
+        for engine in engines_of(context)
+        for request in engine.received
+        if part in request.headers.get('x-prompt-prefix', '')
+    ]
+
+
+async def send_prompt(context, vm, *shared_parts):
+    number = next(context.prompt_numbers)
+    parts = [*shared_parts, f'e{number:04x}']
+    return await support.send_request(
+        platform_asking.fixture(context).front_port(vm),
+        'POST',
+        '/ask/x',
+        b'{}',
+        X_Token_Counts='5000,500',
+        X_Prompt_Prefix=','.join(f'{part}:40' for part in parts),
+    )
+
+
+@given(
+    '{count:d} additional engines that come back {seconds:g} seconds '
+    'after a crash'
+)
+def step_engines_come_back(context, count, seconds):
+    fixture = platform_asking.fixture(context)
+    context.prompt_numbers = itertools.count()
+
+    async def run_step():
+        for i in range(count):
+            await fixture.add_engine(f'more{i}', support.POOL, 'ba', 20 + i, 8)
+        fixture.restart_ended_engines(seconds)
+        await asyncio.sleep(0.3)
+
+    platform_asking.run(context, run_step())
+
+
+@given('a part of prompts that crashes each engine that begins to answer it')
+def step_deadly_part(context):
+    for engine in engines_of(context):
+        engine.deadly_part = DEADLY
+
+
+@when(
+    'prompts with the part are sent to all VMs until five engines have '
+    'crashed or {count:d} prompts were sent'
+)
+def step_crash_engines(context, count):
+    async def run_step():
+        for number in range(count):
+            if crashes(context) >= CRASHES:
+                return
+            await send_prompt(context, number % 3, FIRST, DEADLY)
+            await send_prompt(context, (number + 1) % 3, FIRST)
+
+    platform_asking.run(context, run_step())
+
+
+@when('a VM starts and {seconds:g} seconds pass')
+def step_new_vm(context, seconds):
+    fixture = platform_asking.fixture(context)
+    platform_asking.run(context, fixture.start_vm(3))
+    platform_asking.run(context, asyncio.sleep(seconds))
+
+
+@then(
+    'of {count:d} prompts with the part, sent to all VMs, at most {most:d} '
+    'reach an engine'
+)
+def step_few_reach(context, count, most):
+    before = len(prompts_received(context, DEADLY))
+
+    async def run_step():
+        return [
+            await send_prompt(context, number % 4, FIRST, DEADLY)
+            for number in range(count)
+        ]
+
+    context.refusals = platform_asking.run(context, run_step())
+    reached = len(prompts_received(context, DEADLY)) - before
+    assert reached <= most, (reached, crashes(context))
+
+
+@then('prompts with the part get 503 and are told to return much later')
+def step_refused(context):
+    for response in context.refusals:
+        assert response.status == 503, response
+        assert float(response.headers['retry-after']) >= 10, response
+
+
+@then('prompts that share the key and the first part are answered')
+def step_sound_answered(context):
+    check_answered(context, FIRST)
+
+
+def check_answered(context, *parts):
+    vms = sorted(platform_asking.fixture(context).processes)
+    for vm in vms * 4:
+        response = platform_asking.run(
+            context, send_prompt(context, vm, *parts)
+        )
+        assert response.status == 200, response
+        assert response.is_complete, response
+
+
+@when('each of three engines crashes while it has prompts with the same part')
+def step_crash_by_themselves(context):
+    async def crash_one():
+        for engine in engines_of(context):
+            engine.event_delay_s = 1.0
+        sent = [
+            asyncio.ensure_future(send_prompt(context, 0, FIRST))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0.2)
+        busy = next(
+            engine
+            for engine in engines_of(context)
+            if not engine.has_ended and engine.executed_requests()
+        )
+        for engine in engines_of(context):
+            engine.event_delay_s = 0.0
+        busy.end()
+        return await asyncio.gather(*sent)
+
+    for _ in range(3):
+        for response in platform_asking.run(context, crash_one()):
+            assert response.status == 200, response
+            assert response.is_complete
+
+
+@then('prompts with the part are answered')
+def step_part_answered(context):
+    check_answered(context, FIRST)
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import os
 import pathlib
 import signal
@@ -224,6 +225,34 @@
         self.store.put(f'servers/{name}', engine.store_entry())
         return engine
 
+    def restart_ended_engines(self, seconds):
+        """Has each engine that ends come back after some seconds.
+
+        It comes back at the same address under another id.
+        """
+        loop = asyncio.get_running_loop()
+
+        def restart(old):
+            name = f'{old.name}-again'
+            engine = sealed_engine.SealedEngine(
+                name, old.service, old.zone, old.port, old.events
+            )
+            engine.deadly_part = old.deadly_part
+            engine.event_interval_s = old.event_interval_s
+            engine.on_end = functools.partial(plan_restart, engine)
+            self.engines_by_name[name] = engine
+            self.store.remove(f'servers/{old.name}')
+            self.store.put(f'servers/{name}', engine.store_entry())
+            return engine.start()
+
+        def plan_restart(engine):
+            loop.call_later(
+                seconds, lambda: asyncio.ensure_future(restart(engine))
+            )
+
+        for engine in self.engines_by_name.values():
+            engine.on_end = functools.partial(plan_restart, engine)
+
     def publish(self, **changes):
         self.version += 1
         self.store.put('op/config', configuration(self.version, **changes))
--- a/tests/properties/fleet_properties.py
+++ b/tests/properties/fleet_properties.py
@@ -1,5 +1,6 @@
 """Properties of fleets whose VMs report to each other."""
 
+import collections
 import random
 
 from galenaquay.adapters import fleet_grpc
@@ -11,8 +12,10 @@
 from galenaquay.limits import cold_starts
 from galenaquay.limits import group_memory
 from galenaquay.limits import orphaned_memory
+from galenaquay.limits import quarantine
 from galenaquay.membership import fleet as fleet_module
 from galenaquay.membership import hedging
+from galenaquay.membership import revisions
 from galenaquay import telemetry
 
 from tests.properties import document_properties
@@ -31,6 +34,10 @@
         engines = memory_properties.LossyEngines(None, [])
         directory = directory_module.Directory(clock)
         copy = mirror_module.Mirror(clock=clock)
+        self.revisions = revisions.Revisions()
+        self.quarantine = quarantine.Quarantine(self.revisions, clock=clock)
+        # What this VM and another have told each other, by its address.
+        self.progress_by_address = collections.defaultdict(fleet_grpc.Progress)
         self.reports = fleet_grpc.FleetReports(
             self.fleet,
             self.workload,
@@ -48,8 +55,18 @@
             orphaned_memory.OrphanedMemory(
                 self.me.vm_id, engines, directory, clock
             ),
+            self.revisions,
+            self.quarantine,
         )
 
+    def report_to(self, receiver, now_s):
+        """Sends one report to another VM and handles its reply."""
+        progress = self.progress_by_address[receiver.me.address]
+        reply = receiver.reports.handle_report(
+            self.reports.own_report(progress)
+        )
+        self.reports.handle_reply(reply, now_s, progress)
+
 
 def check_zone_sums():
     """Each VM of a large fleet counts every placed job exactly once."""
@@ -67,10 +84,7 @@
                 for address in vm.fleet.addresses():
                     receiver = vm_by_address.get(address)
                     if receiver is not None and receiver is not vm:
-                        reply = receiver.reports.handle_report(
-                            vm.reports.own_report()
-                        )
-                        vm.reports.handle_reply(reply, now_s)
+                        vm.report_to(receiver, now_s)
             now_s += 0.33
 
     run_rounds(20)
