--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -23,6 +23,7 @@
 from ..engines import workload as workload_module
 from ..limits import attempt_budget
 from ..limits import group_memory
+from ..limits import named_limits as named_limits_module
 from ..limits import quarantine as quarantine_module
 from ..ports import exchange
 from ..ports import reservations
@@ -85,6 +86,7 @@
     usual_times: usual_times_module.UsualTimes
     lifetime: Lifetime
     quarantine: quarantine_module.Quarantine
+    named_limits: named_limits_module.NamedLimits
 
 
 async def _read_next(body: AsyncIterator[bytes]) -> bytes | None:
@@ -350,8 +352,14 @@
             raise _AttemptFailedError(
                 exchange.SendError(exchange.Failure.TIMED_OUT, 'no answer')
             ) from None
+        limits = self._dependencies.named_limits
         if isinstance(response, exchange.SendError):
+            if response.limit_per_s is not None:
+                limits.record_answer(
+                    placement.endpoint.id, response.limit_per_s
+                )
             raise _AttemptFailedError(response)
+        limits.record_answer(placement.endpoint.id, response.head.limit_per_s)
         return response
 
     def _has_more_attempts(self) -> bool:
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -110,6 +110,9 @@
     # Id or address of the endpoint that caused the failure, if known; empty if
     # the endpoint that received the request caused the failure.
     culprit: str = ''
+    # Requests per second that the endpoint takes from all VMs together, if
+    # its response names such a limit.
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,6 +136,9 @@
     # Whether the body is a stream of server-sent events.
     is_stream: bool
     load: LoadHint | None = None
+    # Requests per second that the endpoint takes from all VMs together; None
+    # if it names no limit.
+    limit_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
