--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -37,6 +37,12 @@
     NO_SEAL = 'unproved'
     # Responds 200 with the attempt id of another request.
     WRONG_ATTEMPT_ID = 'crossed'
+    # Executes the request and responds like a rejection, or a misdirected
+    # request, of an earlier request.
+    STALE_REJECTION = 'stale rejection'
+    STALE_MISDIRECTION = 'stale misdirection'
+    # Executes the request and responds like a rejection, without an id.
+    ANONYMOUS_REJECTION = 'anonymous rejection'
     # Sends the complete response of a plain service twice.
     DUPLICATE_RESPONSE = 'extra'
     # Sends a body without a length. The connection is closed after the body,
@@ -88,6 +94,11 @@
     # On the monotonic clock, in seconds.
     received_at_s: float = dataclasses.field(default_factory=time.monotonic)
 
+    @property
+    def attempt_id(self) -> str:
+        """The id of the client's attempt; empty if there is none."""
+        return self.headers.get('x-attempt-id', '')
+
 
 @dataclasses.dataclass
 class Reservation:
@@ -220,10 +231,7 @@
         request = ReceivedRequest(method, target, headers, b'')
         if fault is Fault.EARLY_RESPONSE:
             self.received.append(request)
-            writer.write(
-                b'HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n'
-                b'Content-Length: 0\r\n\r\n'
-            )
+            writer.write(_rejection('503 Busy', request.attempt_id))
             await asyncio.sleep(0.2)
             request.body = await reader.read(1 << 22)
             return False
@@ -237,8 +245,7 @@
         self.received.append(request)
         if headers.get('x-expect-instance') != self.name:
             writer.write(
-                b'HTTP/1.1 421 Misdirected Request\r\n'
-                b'Content-Length: 0\r\n\r\n'
+                _rejection('421 Misdirected Request', request.attempt_id)
             )
             return True
         disconnect = asyncio.ensure_future(reader.read(1))
@@ -307,12 +314,12 @@
         disconnect: 'asyncio.Future[bytes]',
     ) -> bool:
         if fault is Fault.REJECT:
-            writer.write(
-                b'HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n'
-                b'Content-Length: 0\r\n\r\n'
-            )
+            writer.write(_rejection('503 Busy', request.attempt_id))
             return True
         request.has_run = True
+        if fault in _STALE_RESPONSES:
+            writer.write(_STALE_RESPONSES[fault])
+            return True
         if fault is Fault.CLOSE_CONNECTION:
             return False
         if fault is Fault.RESET_CONNECTION:
@@ -445,6 +452,21 @@
         return True
 
 
+def _rejection(status: str, attempt_id: str) -> bytes:
+    """Returns a response that says that a request was not executed."""
+    lines = [f'HTTP/1.1 {status}', 'X-Not-Executed: 1', 'Content-Length: 0']
+    if attempt_id:
+        lines.append(f'X-Attempt-Id: {attempt_id}')
+    return '\r\n'.join(lines).encode() + _HEAD_END
+
+
+_STALE_RESPONSES: Final = {
+    Fault.STALE_REJECTION: _rejection('503 Busy', 'earlier'),
+    Fault.STALE_MISDIRECTION: _rejection('421 Misdirected', 'earlier'),
+    Fault.ANONYMOUS_REJECTION: _rejection('503 Busy', ''),
+}
+
+
 def _chunk(data: bytes) -> bytes:
     return b'%x\r\n%s\r\n' % (len(data), data)
 
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -49,6 +49,24 @@
       | crossed        |
       | unframed reset |
 
+  Scenario Outline: A rejection that is not of this request promises nothing
+    Given each service applies the fault "<fault>" to its next request
+    When a POST request is sent to "/once/x"
+    Then the response has status 502
+    And the services executed 1 requests
+
+    Examples:
+      | fault               |
+      | stale rejection     |
+      | stale misdirection  |
+      | anonymous rejection |
+
+  Scenario: A stream is not sent again after a rejection of another request
+    Given the first engine to run a request applies the fault "stale rejection"
+    When a stream is requested on "/tell/x"
+    Then the response has status 502
+    And the engines executed 1 requests
+
   Scenario: A surplus response on a connection is not given to the next request
     Given each service applies the fault "extra" to its next request
     When two requests are sent one after the other on one connection
