Keep other answers out of a begun stream

Cause: an answer that is no stream was sent whole, whether or not the response to the caller had begun.

Change: once it has begun, only a stream continues it. Any other answer is a failed attempt: resumed at another engine if that is allowed, else the connection is aborted. The writer asserts that a response begins once.

--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -29,6 +29,8 @@
     # response.
     CLOSE_CONNECTION = 'close'
     RESET_CONNECTION = 'reset'
+    # Executes the request and responds with a body that is not a stream.
+    PLAIN_RESPONSE = 'plain'
     # Executes the request and sends no response.
     NO_RESPONSE = 'mute'
     # Executes the request and responds 500.
@@ -332,7 +334,7 @@
         if fault in ENDLESS_FAULTS:
             await self._send_without_end(request, fault, writer, disconnect)
             return False
-        if self.events:
+        if self.events and fault is not Fault.PLAIN_RESPONSE:
             return await self._send_stream(request, fault, writer, disconnect)
         return self._send_plain(request, fault, writer)
 
--- a/packages/galenaquay/galenaquay/adapters/forward_front.py
+++ b/packages/galenaquay/galenaquay/adapters/forward_front.py
@@ -65,6 +65,7 @@
         self._closes_connection = True
 
     def _prepare(self, head: exchange.Head) -> web.StreamResponse:
+        assert self._response is None, 'a response has begun'
         response = web.StreamResponse(status=head.status)
         for name, value in head.headers:
             response.headers.add(name, value)
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -319,6 +319,13 @@
                 )
             if head.is_success and head.is_stream:
                 await self._relay_events(response, placement, jobs, sent_s)
+            elif self._writer.is_started:
+                raise _AttemptFailedError(
+                    exchange.SendError(
+                        exchange.Failure.INVALID,
+                        f'answered {head.status} instead of resuming',
+                    )
+                )
             else:
                 await self._relay_whole(response, placement, sent_s)
         except exchange.ExchangeBrokenError as exc:
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -198,6 +198,33 @@
     And the response is complete
     And the second engine was asked to resume after the last complete event
 
+  Scenario Outline: A stream that cannot be resumed is left incomplete
+    Given the engines that run a request apply the faults "torn", then "<fault>"
+    When a resumable stream is requested
+    Then the caller receives the events before the break and nothing else
+    And the response is incomplete
+
+    Examples:
+      | fault           |
+      | fail            |
+      | plain           |
+      | reject          |
+      | stale rejection |
+      | close           |
+
+  Scenario Outline: A stream is resumed at a third engine after an error of the second
+    Given 1 additional engines
+    And requests may be sent to 3 endpoints
+    And the engines that run a request apply the faults "torn", then "<fault>"
+    When a resumable stream is requested
+    Then the caller receives every event once and in order
+    And the response is complete
+
+    Examples:
+      | fault |
+      | fail  |
+      | plain |
+
   Scenario: An interrupted stream of a non-resumable route is left incomplete
     Given the first engine to run a request disconnects inside an event
     When a stream is requested on "/tell/x"
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -62,6 +62,35 @@
     context.torn = True
 
 
+@given(
+    'the engines that run a request apply the faults "{first}", then "{then}"'
+)
+def step_engine_faults(context, first, then):
+    shared_faults = [sealed_engine.Fault(first), sealed_engine.Fault(then)]
+    for engine in platform_asking.fixture(context).engines_by_name.values():
+        if engine.service == support.POOL:
+            engine.faults = shared_faults
+            context.events_before_break = engine.events_before_reset
+
+
+@given('requests may be sent to {count:d} endpoints')
+def step_max_attempts(context, count):
+    fixture = platform_asking.fixture(context)
+    routes = support.configuration()['routes']
+    for each_route in routes:
+        each_route['maxAttempts'] = count
+    fixture.publish(routes=routes)
+    platform_asking.run(context, asyncio.sleep(0.5))
+
+
+@then('the caller receives the events before the break and nothing else')
+def step_events_before_break(context):
+    expected = event_bytes(range(context.events_before_break))
+    assert context.response.body == expected, context.response
+    # Nothing follows the chunk of the last event, not even invalid bytes.
+    assert context.response.raw.endswith(b'\n\n\r\n'), context.response.raw
+
+
 @then('the endpoints sent at most {megabytes:d} MB without end')
 def step_endless_bytes(context, megabytes):
     engines = platform_asking.fixture(context).engines_by_name.values()
@@ -380,12 +409,20 @@
     context.response = platform_asking.run(context, run_step())
 
 
+@when('a resumable stream is requested')
+def step_resumable_stream(context):
+    platform_asking.send_post(
+        context, '/ask/x', b'{}', X_Token_Counts='5000,500'
+    )
+
+
+def event_bytes(numbers):
+    return b''.join(b'id: %d\ndata: piece %d\n\n' % (i, i) for i in numbers)
+
+
 @then('the caller receives every event once and in order')
 def step_events(context):
-    expected = b''.join(
-        b'id: %d\ndata: piece %d\n\n' % (i, i) for i in range(8)
-    )
-    assert context.response.body == expected, context.response
+    assert context.response.body == event_bytes(range(8)), context.response
 
 
 @then('the response is complete')
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -97,6 +97,8 @@
     headers: dict
     body: bytes
     is_complete: bool
+    # All received bytes, with the head and the framing of the body.
+    raw: bytes = b''
 
 
 async def send_request(
@@ -140,7 +142,9 @@
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                parser.receive_data(await reader.read(65536))
+                data = await reader.read(65536)
+                response.raw += data
+                parser.receive_data(data)
             elif isinstance(event, h11.Response):
                 response.status = event.status_code
                 response.headers = {
