Check cut heads and answers without length

Neither fails here: an answer whose head is cut at any byte gives 502, of a plain service and of an engine (one request for each byte of the head); a stream without length is complete at an orderly end only, and is resumed, or left incomplete, after an end inside an event or a reset. The HTTP parser raises an error when a connection ends inside a head, and the relay checks for a begun event; what was missing were tests.

--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -48,9 +48,14 @@
     # Sends the complete response of a plain service twice.
     DUPLICATE_RESPONSE = 'extra'
     # Sends a body without a length. The connection is closed after the body,
-    # or reset 50 ms later.
+    # or reset 50 ms later; a stream is reset after a complete event.
     NO_LENGTH = 'unframed'
     NO_LENGTH_RESET = 'unframed reset'
+    # Sends a stream without a length and closes the connection in the middle
+    # of an event.
+    NO_LENGTH_PARTIAL_EVENT = 'unframed torn'
+    # Closes the connection in the middle of the response's head.
+    PARTIAL_HEAD = 'cut head'
     # Resets the connection in the middle of a server-sent event.
     PARTIAL_EVENT = 'torn'
     # Sets a `Content-Encoding` that the client did not request.
@@ -77,6 +82,21 @@
         Fault.SLOW_ENDLESS_EVENT,
     )
 )
+_UNFRAMED_FAULTS: Final = frozenset(
+    (
+        Fault.NO_LENGTH,
+        Fault.NO_LENGTH_RESET,
+        Fault.NO_LENGTH_PARTIAL_EVENT,
+    )
+)
+# Faults that break a stream off.
+_BREAKING_FAULTS: Final = frozenset(
+    (
+        Fault.PARTIAL_EVENT,
+        Fault.NO_LENGTH_RESET,
+        Fault.NO_LENGTH_PARTIAL_EVENT,
+    )
+)
 # Pause between two bytes of `Fault.SLOW_ENDLESS_EVENT`, in seconds.
 SLOW_BYTE_INTERVAL_S: Final = 0.1
 
@@ -133,6 +153,10 @@
         self.event_delay_s = 0.0
         self.body = b'{"ok":true}'
         self.faults: list[Fault] = []
+        # Number of bytes of the head sent by `Fault.PARTIAL_HEAD`.
+        self.head_bytes = 0
+        # Size of the whole head of that response.
+        self.full_head_bytes = 0
         # Number of complete events sent before `Fault.PARTIAL_EVENT` applies.
         self.events_before_reset = 3
         self.received: list[ReceivedRequest] = []
@@ -331,6 +355,11 @@
             await disconnect
             request.client_disconnected = True
             return False
+        if fault is Fault.PARTIAL_HEAD:
+            head = self._format_head(request, fault, 'Content-Length: 11')
+            self.full_head_bytes = len(head)
+            writer.write(head[: self.head_bytes])
+            return False
         if fault in ENDLESS_FAULTS:
             await self._send_without_end(request, fault, writer, disconnect)
             return False
@@ -418,12 +447,15 @@
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
     ) -> bool:
+        is_chunked = fault not in _UNFRAMED_FAULTS
+        framing = 'Transfer-Encoding: chunked'
+        if not is_chunked:
+            framing = 'Connection: close'
         writer.write(
             self._format_head(
                 request,
                 fault,
-                'Content-Type: text/event-stream\r\n'
-                'Transfer-Encoding: chunked',
+                f'Content-Type: text/event-stream\r\n{framing}',
             )
         )
         if self._is_deadly(request):
@@ -436,22 +468,27 @@
             filler = b'a' * self.event_filler_bytes
             event = b'id: %d\ndata: piece %d%s\n\n' % (number, number, filler)
             if (
-                fault is Fault.PARTIAL_EVENT
+                fault in _BREAKING_FAULTS
                 and number == first + self.events_before_reset
             ):
-                writer.write(_chunk(event[: len(event) // 2]))
+                part = event[: len(event) // 2]
+                if fault is Fault.NO_LENGTH_RESET:
+                    part = b''
+                writer.write(_chunk(part) if is_chunked else part)
                 await writer.drain()
                 await asyncio.sleep(0.02)
-                _reset(writer)
+                if fault is not Fault.NO_LENGTH_PARTIAL_EVENT:
+                    _reset(writer)
                 return False
-            writer.write(_chunk(event))
+            writer.write(_chunk(event) if is_chunked else event)
             await writer.drain()
             await asyncio.sleep(self.event_interval_s)
             if disconnect.done():
                 request.client_disconnected = True
                 return False
-        writer.write(b'0\r\n\r\n')
-        return True
+        if is_chunked:
+            writer.write(b'0\r\n\r\n')
+        return is_chunked
 
 
 def _rejection(status: str, attempt_id: str) -> bytes:
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -77,6 +77,29 @@
     When a POST request is sent to "/once/x"
     Then the caller receives the service's response with its seal header
 
+  Scenario Outline: A stream without a length is complete at an orderly end only
+    Given the first engine to run a request applies the fault "<fault>"
+    When a stream is requested on "<target>"
+    Then the response is <end>
+    And the caller receives <events> events
+
+    Examples:
+      | fault          | target  | end        | events |
+      | unframed       | /ask/x  | complete   | 8      |
+      | unframed       | /tell/x | complete   | 8      |
+      | unframed torn  | /ask/x  | complete   | 8      |
+      | unframed torn  | /tell/x | incomplete | 3      |
+      | unframed reset | /ask/x  | complete   | 8      |
+      | unframed reset | /tell/x | incomplete | 3      |
+
+  Scenario Outline: An answer whose head is cut gives no success
+    Then an answer to "<target>" whose head is cut at any byte gives 502
+
+    Examples:
+      | target  |
+      | /once/x |
+      | /tell/x |
+
   Scenario: A body with a content encoding is not decoded
     Given each service applies the fault "encoded" to its next request
     When a POST request is sent to "/once/x"
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -1,6 +1,7 @@
 """Steps that simulate callers and engines of galenaquay_platform."""
 
 import asyncio
+import itertools
 import os
 
 from behave import given
@@ -409,6 +410,37 @@
     context.response = platform_asking.run(context, run_step())
 
 
+@then('the caller receives {count:d} events')
+def step_event_count(context, count):
+    assert context.response.body == event_bytes(range(count)), context.response
+
+
+@then('an answer to "{target}" whose head is cut at any byte gives 502')
+def step_cut_head(context, target):
+    fixture = platform_asking.fixture(context)
+    service = support.POOL if target.startswith('/tell') else support.SERVICE
+    for count in itertools.count():
+        for engine in fixture.engines_by_name.values():
+            engine.head_bytes = count
+        fixture.set_faults(service, sealed_engine.Fault.PARTIAL_HEAD)
+        try:
+            response = platform_asking.send_post(
+                context, target, b'{}', X_Token_Counts='5000,500'
+            )
+        finally:
+            fixture.set_faults(service)
+        assert response.status == 502, (count, response)
+        assert response.is_complete
+        received = fixture.executed_requests(service)
+        assert len(received) == count + 1, (len(received), count)
+        head_bytes = max(
+            engine.full_head_bytes
+            for engine in fixture.engines_by_name.values()
+        )
+        if count + 1 == head_bytes:
+            return
+
+
 @when('a resumable stream is requested')
 def step_resumable_stream(context):
     platform_asking.send_post(
