--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from . import admission
+from . import dependencies as dependencies_module
 from . import journeys
 from ..ports import exchange
 from . import refusals
@@ -14,7 +15,7 @@
 class Forwarder:
     """Forwards callers' requests, or refuses them."""
 
-    def __init__(self, dependencies: journeys.Dependencies) -> None:
+    def __init__(self, dependencies: dependencies_module.Dependencies) -> None:
         self._dependencies = dependencies
         self._admission = admission.Admission(
             dependencies.current, dependencies.rng
--- a/packages/galenaquay/galenaquay/outcomes/tickets.py
+++ b/packages/galenaquay/galenaquay/outcomes/tickets.py
@@ -19,7 +19,7 @@
 from .. import codes
 from .. import ids
 from ..limits import claims
-from ..limits import ledger
+from ..limits import shares
 from ..ports import services as services_port
 
 # Time from the issue of a ticket to the removal of the ticket's record, in
@@ -37,7 +37,7 @@
 class Ticket:
     """Permission to make one non-idempotent call."""
 
-    home: ledger.ProcessId
+    home: shares.ProcessId
     number: int
 
     def __str__(self) -> str:
@@ -49,7 +49,7 @@
     parts = text.rsplit('.', 2)
     try:
         vm_id, incarnation, number = parts
-        home = ledger.ProcessId(
+        home = shares.ProcessId(
             ids.VmId(vm_id), ids.Incarnation(int(incarnation))
         )
         return Ticket(home, int(number))
@@ -103,11 +103,11 @@
 class Home:
     """Issues tickets and runs each ticket's call at most once."""
 
-    me: ledger.ProcessId
+    me: shares.ProcessId
 
     def __init__(
         self,
-        me: ledger.ProcessId,
+        me: shares.ProcessId,
         run_call: CallRunner,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -220,7 +220,7 @@
 
 
 def call_to_request(
-    call: CallRequest, sender: ledger.ProcessId
+    call: CallRequest, sender: shares.ProcessId
 ) -> peer_pb2.ServiceCallRequest:
     """Converts a call to a protobuf request for the ticket's home."""
     return peer_pb2.ServiceCallRequest(
@@ -245,7 +245,7 @@
     """
     ticket = parse_ticket(request.ticket)
     if isinstance(ticket, codes.Failure):
-        ticket = Ticket(ledger.ProcessId(ids.VmId(''), ids.Incarnation(0)), 0)
+        ticket = Ticket(shares.ProcessId(ids.VmId(''), ids.Incarnation(0)), 0)
     return CallRequest(
         ticket=ticket,
         account_id=ids.AccountId(request.account_id),
