Split the shares off the memory ledger

The types of shares, grants, leases and claims, which most importers need without the ledger, are limits/shares.py. No logic changes.

--- a/packages/galenaquay/galenaquay/adapters/engine_http.py
+++ b/packages/galenaquay/galenaquay/adapters/engine_http.py
@@ -13,7 +13,7 @@
 from .. import codes
 from .. import ids
 from . import limited_bodies
-from ..limits import ledger
+from ..limits import shares
 from ..ports import engine as engine_port
 from ..streams import events
 
@@ -207,7 +207,7 @@
         if isinstance(body, codes.Failure):
             return body
         holdings = (
-            ledger.parse_tag(
+            shares.parse_tag(
                 ids.RequestId(h['request_id']), int(h['attempt']), h['grant']
             )
             for h in body['holdings']
--- a/packages/galenaquay/galenaquay/adapters/operators_http.py
+++ b/packages/galenaquay/galenaquay/adapters/operators_http.py
@@ -9,8 +9,8 @@
 from .. import ids
 from ..configuration import documents
 from ..limits import held as held_module
-from ..limits import ledger
 from ..limits import owner as owners
+from ..limits import shares
 from ..membership import view as views
 from ..routing import candidates
 from ..routing import policies
@@ -82,7 +82,7 @@
             'list_version': peer.list_version,
         }
 
-    def _share(self, share: ledger.Share) -> dict[str, Any]:
+    def _share(self, share: shares.Share) -> dict[str, Any]:
         now_s = self._view.clock()
         endpoint_id = share.key.endpoint_id
         return {
@@ -100,7 +100,7 @@
         return [
             {
                 'endpoint': endpoint_id,
-                'is_first': ledger.ShareKey(endpoint_id, ledger.Slot.FIRST)
+                'is_first': shares.ShareKey(endpoint_id, shares.Slot.FIRST)
                 in self._ledger.shares_by_key,
                 'is_cold': self._owner.state_of(endpoint_id).is_cold,
                 'waiting': self._owner.waiting_count(endpoint_id),
--- a/packages/galenaquay/galenaquay/engines/watch.py
+++ b/packages/galenaquay/galenaquay/engines/watch.py
@@ -15,8 +15,8 @@
 from .. import ids
 from .. import tasks
 from ..configuration import documents
-from ..limits import ledger
 from ..limits import owner as owners
+from ..limits import shares
 from ..membership import view as views
 from ..ports import engine as engine_port
 
@@ -137,9 +137,9 @@
         Also true for an engine that is assumed to be cold.
         """
         owner_ledger = self._owner.ledger
-        for slot in ledger.Slot:
+        for slot in shares.Slot:
             share = owner_ledger.shares_by_key.get(
-                ledger.ShareKey(endpoint_id, slot)
+                shares.ShareKey(endpoint_id, slot)
             )
             if share is not None and share.debit_tokens > 0:
                 return True
@@ -179,13 +179,13 @@
             if self._is_orphan(holding):
                 await self._cancel(endpoint, holding)
 
-    def _is_orphan(self, holding: ledger.Holding) -> bool:
+    def _is_orphan(self, holding: shares.Holding) -> bool:
         return holding.grant_id in self._to_cancel or self._view.is_gone(
             holding.entry
         )
 
     async def _cancel(
-        self, endpoint: documents.Endpoint, holding: ledger.Holding
+        self, endpoint: documents.Endpoint, holding: shares.Holding
     ) -> None:
         is_confirmed = await self._engines.cancel(
             endpoint.url, holding.request_id, holding.attempt
@@ -234,7 +234,7 @@
         The holder of the engine's first share does, and so does the holder of
         the second share if no other process is available as first owner.
         """
-        key = ledger.ShareKey(ids.EndpointId(endpoint.id), ledger.Slot.FIRST)
+        key = shares.ShareKey(ids.EndpointId(endpoint.id), shares.Slot.FIRST)
         if key in self._owner.ledger.shares_by_key:
             return True
         return self._lacks_other_first_owner(endpoint)
--- a/packages/galenaquay/galenaquay/limits/accounts.py
+++ b/packages/galenaquay/galenaquay/limits/accounts.py
@@ -19,10 +19,10 @@
 from .. import ids
 from . import claims
 from ..configuration import documents
-from . import ledger
 from ..membership import ranks
 from ..membership import view as views
 from ..ports import peers as peers_port
+from . import shares
 
 # Fraction of an account's rate that the owner of the account hands out.
 OWNER_FRACTION: Final = 0.9
@@ -299,7 +299,7 @@
         return True
 
     def yield_to(
-        self, account_id: ids.AccountId, asker: ledger.ProcessId
+        self, account_id: ids.AccountId, asker: shares.ProcessId
     ) -> ids.VmId | None:
         """Stops handing out an account's tokens in favour of another VM.
 
--- a/packages/galenaquay/galenaquay/limits/claims.py
+++ b/packages/galenaquay/galenaquay/limits/claims.py
@@ -15,6 +15,7 @@
 from . import ledger
 from ..membership import view as views
 from ..ports import peers as peers_port
+from . import shares
 
 LOG: Final = logging.getLogger(__name__)
 # Time between two checks for shares that this VM owns but does not hold, in
@@ -52,7 +53,7 @@
         for key in self._view.wanted_shares():
             self._ledger.resume_lending(key)
 
-    async def _claim(self, keys: list[ledger.ShareKey]) -> None:
+    async def _claim(self, keys: list[shares.ShareKey]) -> None:
         list_version = self._view.lists.version
         peers = self._view.zone_peers()
         self._ledger.claiming.update(keys)
@@ -70,8 +71,8 @@
 
     def _finish(
         self,
-        keys: list[ledger.ShareKey],
-        replies: list[list[ledger.ClaimAnswer]],
+        keys: list[shares.ShareKey],
+        replies: list[list[shares.ClaimAnswer]],
     ) -> None:
         document = self._view.configs.document
         now_s = self._view.clock()
@@ -85,15 +86,15 @@
             capacity_tokens = (
                 endpoint.capacity_tokens if endpoint is not None else 0
             )
-            size_tokens = ledger.share_tokens(capacity_tokens, key.slot)
+            size_tokens = shares.share_tokens(capacity_tokens, key.slot)
             if self._ledger.take_over(key, size_tokens, answers, now_s):
                 LOG.info(
                     'took over share %s of %s', key.slot.name, key.endpoint_id
                 )
 
     async def _ask(
-        self, address: str, keys: list[ledger.ShareKey]
-    ) -> list[ledger.ClaimAnswer]:
+        self, address: str, keys: list[shares.ShareKey]
+    ) -> list[shares.ClaimAnswer]:
         request = peer_pb2.ClaimRequest(
             sender=sender_message(self._ledger.me),
             list_version=self._view.lists.version,
@@ -101,12 +102,12 @@
         )
         reply = await self._peers.claim(address, request)
         if isinstance(reply, codes.Failure):
-            verdict = ledger.ClaimVerdict.DENIED
+            verdict = shares.ClaimVerdict.DENIED
             if reply.code is codes.Code.CONNECT_FAILED:
                 # The kernel of the VM refused the connection, so no process on
                 # the VM holds the share.
-                verdict = ledger.ClaimVerdict.NOT_HELD
-            return [ledger.ClaimAnswer(key, verdict) for key in keys]
+                verdict = shares.ClaimVerdict.NOT_HELD
+            return [shares.ClaimAnswer(key, verdict) for key in keys]
         return [_answer_of(answer) for answer in reply.answers]
 
     def answer(self, request: peer_pb2.ClaimRequest) -> peer_pb2.ClaimReply:
@@ -132,35 +133,35 @@
         )
 
 
-def _denied(key: ledger.ShareKey) -> ledger.ClaimAnswer:
-    return ledger.ClaimAnswer(key, ledger.ClaimVerdict.DENIED)
+def _denied(key: shares.ShareKey) -> shares.ClaimAnswer:
+    return shares.ClaimAnswer(key, shares.ClaimVerdict.DENIED)
 
 
-def sender_message(process: ledger.ProcessId) -> peer_pb2.Sender:
+def sender_message(process: shares.ProcessId) -> peer_pb2.Sender:
     """Returns the message that identifies a process to its peers."""
     return peer_pb2.Sender(
         vm_id=process.vm_id, incarnation=process.incarnation
     )
 
 
-def process_id_of(sender: peer_pb2.Sender) -> ledger.ProcessId:
+def process_id_of(sender: peer_pb2.Sender) -> shares.ProcessId:
     """Returns the process that a message identifies."""
-    return ledger.ProcessId(
+    return shares.ProcessId(
         ids.VmId(sender.vm_id), ids.Incarnation(sender.incarnation)
     )
 
 
-def _slot_message(key: ledger.ShareKey) -> peer_pb2.ShareSlot:
+def _slot_message(key: shares.ShareKey) -> peer_pb2.ShareSlot:
     return peer_pb2.ShareSlot(endpoint_id=key.endpoint_id, slot=int(key.slot))
 
 
-def _key_of(slot: peer_pb2.ShareSlot) -> ledger.ShareKey:
-    return ledger.ShareKey(
-        ids.EndpointId(slot.endpoint_id), ledger.Slot(slot.slot)
+def _key_of(slot: peer_pb2.ShareSlot) -> shares.ShareKey:
+    return shares.ShareKey(
+        ids.EndpointId(slot.endpoint_id), shares.Slot(slot.slot)
     )
 
 
-def _answer_message(answer: ledger.ClaimAnswer) -> peer_pb2.ClaimAnswer:
+def _answer_message(answer: shares.ClaimAnswer) -> peer_pb2.ClaimAnswer:
     return peer_pb2.ClaimAnswer(
         slot=_slot_message(answer.key),
         verdict=peer_pb2.ClaimVerdict.ValueType(answer.verdict.value),
@@ -168,9 +169,9 @@
     )
 
 
-def _answer_of(message: peer_pb2.ClaimAnswer) -> ledger.ClaimAnswer:
-    return ledger.ClaimAnswer(
+def _answer_of(message: peer_pb2.ClaimAnswer) -> shares.ClaimAnswer:
+    return shares.ClaimAnswer(
         _key_of(message.slot),
-        ledger.ClaimVerdict(message.verdict),
+        shares.ClaimVerdict(message.verdict),
         message.granted_tokens,
     )
--- a/packages/galenaquay/galenaquay/limits/ledger.py
+++ b/packages/galenaquay/galenaquay/limits/ledger.py
@@ -12,12 +12,11 @@
 docs/design/memory.md gives the safety argument and its assumptions.
 """
 
-from collections.abc import Iterable, Iterator, Sequence
-import dataclasses
-import enum
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from .. import ids
+from . import shares
 
 # Duration of a lease at the borrower, in seconds, counted from when the
 # borrower sent the heartbeat that asked for the lease.
@@ -40,222 +39,31 @@
 LENDER_LEASE_S: Final = LEASE_S + GRANT_VISIBLE_S
 
 
-class Slot(enum.IntEnum):
-    """The two shares of an engine's memory."""
-
-    FIRST = 0
-    SECOND = 1
-
-
-@dataclasses.dataclass(frozen=True)
-class ShareKey:
-    """Identifies one share of one engine's memory."""
-
-    endpoint_id: ids.EndpointId
-    slot: Slot
-
-
-def share_tokens(capacity_tokens: int, slot: Slot) -> int:
-    """Returns the size of a share, in tokens."""
-    second = capacity_tokens // 2
-    return second if slot is Slot.SECOND else capacity_tokens - second
-
-
-def wanted_slots(owners: Sequence[ids.VmId], vm_id: ids.VmId) -> list[Slot]:
-    """Returns the slots of an engine that a VM owns by rank.
-
-    A VM that is the only owner of the engine owns both slots.
-    """
-    if list(owners) == [vm_id]:
-        return list(Slot)
-    return [slot for slot, owner in zip(Slot, owners) if owner == vm_id]
-
-
-@dataclasses.dataclass(frozen=True)
-class ProcessId:
-    """Identifies one run of the process on a VM."""
-
-    vm_id: ids.VmId
-    incarnation: ids.Incarnation
-
-
-@dataclasses.dataclass(frozen=True)
-class Grant:
-    """Permission for one request to use tokens of an engine's memory."""
-
-    grant_id: ids.GrantId
-    endpoint_id: ids.EndpointId
-    owner: ProcessId
-    # The process that accepted the request and sends it to the engine.
-    entry: ProcessId
-    first_share_tokens: int
-    second_share_tokens: int
-    # Lease that `second_share_tokens` come from; 0 if the owner holds the
-    # second share itself.
-    lease_number: int
-    granted_at_s: float
-
-    @property
-    def tokens(self) -> int:
-        """Tokens granted from both shares together."""
-        return self.first_share_tokens + self.second_share_tokens
-
-    def slot_tokens(self, slot: Slot) -> int:
-        """Tokens granted from one share."""
-        return (
-            self.first_share_tokens
-            if slot is Slot.FIRST
-            else self.second_share_tokens
-        )
-
-    def tag(self) -> str:
-        """Encodes the grant as the tag that the engine stores and reports.
-
-        The engine stores the tag with the request and returns the tag when
-        asked which requests it holds.
-        """
-        fields = (
-            self.grant_id,
-            self.owner.vm_id,
-            self.owner.incarnation,
-            self.entry.vm_id,
-            self.entry.incarnation,
-            self.first_share_tokens,
-            self.second_share_tokens,
-            self.lease_number,
-        )
-        return '/'.join(str(field) for field in fields)
-
-
-@dataclasses.dataclass(frozen=True)
-class Holding:
-    """A request that an engine reports as held, with its decoded tag."""
-
-    request_id: ids.RequestId
-    attempt: int
-    grant_id: ids.GrantId
-    owner: ProcessId
-    entry: ProcessId
-    first_share_tokens: int
-    second_share_tokens: int
-    lease_number: int
-
-    def slot_tokens(self, slot: Slot) -> int:
-        """Tokens that the request was granted from one share."""
-        return (
-            self.first_share_tokens
-            if slot is Slot.FIRST
-            else self.second_share_tokens
-        )
-
-
-def parse_tag(
-    request_id: ids.RequestId, attempt: int, tag: str
-) -> Holding | None:
-    """Decodes the tag of a grant; returns None if the tag is malformed."""
-    try:
-        grant_id, owner, owner_run, entry, entry_run, *numbers = tag.split('/')
-        first, second, lease_number = numbers
-        return Holding(
-            request_id=request_id,
-            attempt=attempt,
-            grant_id=ids.GrantId(grant_id),
-            owner=ProcessId(ids.VmId(owner), ids.Incarnation(int(owner_run))),
-            entry=ProcessId(ids.VmId(entry), ids.Incarnation(int(entry_run))),
-            first_share_tokens=int(first),
-            second_share_tokens=int(second),
-            lease_number=int(lease_number),
-        )
-    except ValueError:
-        return None
-
-
-@dataclasses.dataclass
-class Lease:
-    """A lease on a second share, as recorded by the lender."""
-
-    number: int
-    borrower: ProcessId
-    tokens: int
-    # On the lender's clock; at least `GRANT_VISIBLE_S` after the lease ends at
-    # the borrower.
-    expires_at_s: float
-
-
-@dataclasses.dataclass
-class Share:
-    """A share of an engine's memory that this process holds."""
-
-    key: ShareKey
-    size_tokens: int
-    # Tokens of this share that may be in use under grants which this ledger
-    # does not record, such as those of a previous holder.
-    debit_tokens: int
-    # Only a report that the engine was asked for at this time or later may
-    # lower `debit_tokens`.
-    reconcile_from_s: float
-    lease: Lease | None = None
-    # Whether leases are no longer started or renewed, since another process
-    # claims the share.
-    is_lending_stopped: bool = False
-
-
-@dataclasses.dataclass
-class Loan:
-    """A lease on a second share, as recorded by the borrower."""
-
-    lender: ProcessId
-    lease_number: int
-    tokens: int
-    valid_until_s: float
-
-
-class ClaimVerdict(enum.Enum):
-    """Result of a claim at one process that was asked for the share."""
-
-    DENIED = 0
-    NOT_HELD = 1
-    HANDED_OVER = 2
-
-
-@dataclasses.dataclass(frozen=True)
-class ClaimAnswer:
-    """Answer of one process to a claim.
-
-    If the share is handed over, `granted_tokens` is the part of the share that
-    may still be in use.
-    """
-
-    key: ShareKey
-    verdict: ClaimVerdict
-    granted_tokens: int = 0
-
-
 class Ledger:
     """Shares, borrowed leases and grants of one process."""
 
     # The process that keeps this ledger.
-    me: ProcessId
+    me: shares.ProcessId
     # Shares that this process holds, by engine and slot.
-    shares_by_key: dict[ShareKey, Share]
+    shares_by_key: dict[shares.ShareKey, shares.Share]
     # Leases that this process has borrowed, by engine.
-    loans_by_endpoint: dict[ids.EndpointId, Loan]
+    loans_by_endpoint: dict[ids.EndpointId, shares.Loan]
     # Grants that have not ended, by their id.
-    grants_by_id: dict[ids.GrantId, Grant]
+    grants_by_id: dict[ids.GrantId, shares.Grant]
     # Shares with a pending claim by this process.
-    claiming: set[ShareKey]
+    claiming: set[shares.ShareKey]
 
-    def __init__(self, me: ProcessId) -> None:
+    def __init__(self, me: shares.ProcessId) -> None:
         self.me = me
         self.shares_by_key = {}
         self.loans_by_endpoint = {}
         self.grants_by_id = {}
         self.claiming = set()
         self._grants_by_endpoint: dict[
-            ids.EndpointId, dict[ids.GrantId, Grant]
+            ids.EndpointId, dict[ids.GrantId, shares.Grant]
         ] = {}
         # Tokens granted, by share and lease number; 0 stands for no lease.
-        self._granted_totals: dict[tuple[ShareKey, int], int] = {}
+        self._granted_totals: dict[tuple[shares.ShareKey, int], int] = {}
         # Each number contains the incarnation, so that no two processes use
         # the same number.
         self._next_number = (me.incarnation << NUMBER_BITS) + 1
@@ -266,14 +74,14 @@
 
     # Grants.
 
-    def grants_of(self, endpoint_id: ids.EndpointId) -> Iterable[Grant]:
+    def grants_of(self, endpoint_id: ids.EndpointId) -> Iterable[shares.Grant]:
         """Returns the grants on an engine that have not been released."""
         return self._grants_by_endpoint.get(endpoint_id, {}).values()
 
-    def _granted_tokens(self, key: ShareKey, lease_number: int) -> int:
+    def _granted_tokens(self, key: shares.ShareKey, lease_number: int) -> int:
         return self._granted_totals.get((key, lease_number), 0)
 
-    def _update_granted(self, grant: Grant, sign: int) -> None:
+    def _update_granted(self, grant: shares.Grant, sign: int) -> None:
         """Adds a grant to the totals per share, or subtracts it.
 
         The running totals make the cost of a grant independent of the number
@@ -284,20 +92,20 @@
             sign: 1 to add the grant, -1 to subtract it.
         """
         for slot, lease_number in (
-            (Slot.FIRST, 0),
-            (Slot.SECOND, grant.lease_number),
+            (shares.Slot.FIRST, 0),
+            (shares.Slot.SECOND, grant.lease_number),
         ):
             tokens = grant.slot_tokens(slot)
             if tokens == 0:
                 continue
-            key = (ShareKey(grant.endpoint_id, slot), lease_number)
+            key = (shares.ShareKey(grant.endpoint_id, slot), lease_number)
             left = self._granted_totals.get(key, 0) + sign * tokens
             if left:
                 self._granted_totals[key] = left
             else:
                 del self._granted_totals[key]
 
-    def _free_share_tokens(self, key: ShareKey) -> int:
+    def _free_share_tokens(self, key: shares.ShareKey) -> int:
         share = self.shares_by_key.get(key)
         if share is None or share.lease is not None:
             return 0
@@ -310,7 +118,7 @@
         loan = self.loans_by_endpoint.get(endpoint_id)
         if loan is None or now_s >= loan.valid_until_s:
             return 0
-        key = ShareKey(endpoint_id, Slot.SECOND)
+        key = shares.ShareKey(endpoint_id, shares.Slot.SECOND)
         return max(
             0, loan.tokens - self._granted_tokens(key, loan.lease_number)
         )
@@ -318,8 +126,12 @@
     def free_tokens(self, endpoint_id: ids.EndpointId, now_s: float) -> int:
         """Returns how many tokens may be granted on an engine now."""
         self.expire(endpoint_id, now_s)
-        first = self._free_share_tokens(ShareKey(endpoint_id, Slot.FIRST))
-        second = self._free_share_tokens(ShareKey(endpoint_id, Slot.SECOND))
+        first = self._free_share_tokens(
+            shares.ShareKey(endpoint_id, shares.Slot.FIRST)
+        )
+        second = self._free_share_tokens(
+            shares.ShareKey(endpoint_id, shares.Slot.SECOND)
+        )
         return first + max(second, self._free_loan_tokens(endpoint_id, now_s))
 
     def usable_tokens(self, endpoint_id: ids.EndpointId, now_s: float) -> int:
@@ -330,8 +142,8 @@
         """
         self.expire(endpoint_id, now_s)
         size = 0
-        for slot in Slot:
-            share = self.shares_by_key.get(ShareKey(endpoint_id, slot))
+        for slot in shares.Slot:
+            share = self.shares_by_key.get(shares.ShareKey(endpoint_id, slot))
             if share is not None and share.lease is None:
                 size += share.size_tokens
         loan = self.loans_by_endpoint.get(endpoint_id)
@@ -343,20 +155,24 @@
         self,
         endpoint_id: ids.EndpointId,
         tokens: int,
-        entry: ProcessId,
+        entry: shares.ProcessId,
         now_s: float,
-    ) -> Grant | None:
+    ) -> shares.Grant | None:
         """Grants tokens on an engine; returns None if too few are free."""
         if tokens <= 0 or self.free_tokens(endpoint_id, now_s) < tokens:
             return None
-        free = self._free_share_tokens(ShareKey(endpoint_id, Slot.FIRST))
+        free = self._free_share_tokens(
+            shares.ShareKey(endpoint_id, shares.Slot.FIRST)
+        )
         first = min(tokens, free)
         second = tokens - first
         lease_number = 0
-        own = self._free_share_tokens(ShareKey(endpoint_id, Slot.SECOND))
+        own = self._free_share_tokens(
+            shares.ShareKey(endpoint_id, shares.Slot.SECOND)
+        )
         if second > own:
             lease_number = self.loans_by_endpoint[endpoint_id].lease_number
-        grant = Grant(
+        grant = shares.Grant(
             grant_id=ids.GrantId(f'{self.me.vm_id}-{self._allocate_number()}'),
             endpoint_id=endpoint_id,
             owner=self.me,
@@ -372,7 +188,7 @@
         self._update_granted(grant, 1)
         return grant
 
-    def release(self, grant_id: ids.GrantId) -> Grant | None:
+    def release(self, grant_id: ids.GrantId) -> shares.Grant | None:
         """Releases a grant whose request has ended or was never started.
 
         The engine must have confirmed the end of a request that was started.
@@ -391,7 +207,9 @@
         The leased tokens are counted as in use until the engine reports which
         requests still hold them.
         """
-        share = self.shares_by_key.get(ShareKey(endpoint_id, Slot.SECOND))
+        share = self.shares_by_key.get(
+            shares.ShareKey(endpoint_id, shares.Slot.SECOND)
+        )
         if share is None or share.lease is None:
             return
         if now_s >= share.lease.expires_at_s:
@@ -400,15 +218,18 @@
             share.lease = None
 
     def lend(
-        self, endpoint_id: ids.EndpointId, borrower: ProcessId, now_s: float
-    ) -> Lease | None:
+        self,
+        endpoint_id: ids.EndpointId,
+        borrower: shares.ProcessId,
+        now_s: float,
+    ) -> shares.Lease | None:
         """Starts or renews a lease on the second share for the first owner.
 
         Returns:
             The lease, or None if this process cannot lend the share.
         """
         self.expire(endpoint_id, now_s)
-        key = ShareKey(endpoint_id, Slot.SECOND)
+        key = shares.ShareKey(endpoint_id, shares.Slot.SECOND)
         share = self.shares_by_key.get(key)
         if share is None or share.is_lending_stopped or borrower == self.me:
             return None
@@ -422,21 +243,25 @@
         lease.expires_at_s = now_s + LENDER_LEASE_S
         return lease
 
-    def _lendable_tokens(self, share: Share) -> int:
+    def _lendable_tokens(self, share: shares.Share) -> int:
         used = self._granted_tokens(share.key, 0) + share.debit_tokens
         return max(0, share.size_tokens - used)
 
-    def _start_lease(self, share: Share, borrower: ProcessId) -> bool:
+    def _start_lease(
+        self, share: shares.Share, borrower: shares.ProcessId
+    ) -> bool:
         tokens = self._lendable_tokens(share)
         if tokens == 0:
             return False
-        share.lease = Lease(self._allocate_number(), borrower, tokens, 0.0)
+        share.lease = shares.Lease(
+            self._allocate_number(), borrower, tokens, 0.0
+        )
         return True
 
     def borrow(
         self,
         endpoint_id: ids.EndpointId,
-        lender: ProcessId,
+        lender: shares.ProcessId,
         lease_number: int,
         tokens: int,
         asked_at_s: float,
@@ -456,15 +281,15 @@
         ):
             valid_until_s = max(valid_until_s, current.valid_until_s)
             tokens = max(tokens, current.tokens)
-        self.loans_by_endpoint[endpoint_id] = Loan(
+        self.loans_by_endpoint[endpoint_id] = shares.Loan(
             lender, lease_number, tokens, valid_until_s
         )
 
     # Claims.
 
     def answer_claim(
-        self, key: ShareKey, *, is_wanted: bool, now_s: float
-    ) -> ClaimAnswer:
+        self, key: shares.ShareKey, *, is_wanted: bool, now_s: float
+    ) -> shares.ClaimAnswer:
         """Answers the claim of another process to a share.
 
         Args:
@@ -476,23 +301,25 @@
         self.expire(key.endpoint_id, now_s)
         share = self.shares_by_key.get(key)
         if key in self.claiming:
-            return ClaimAnswer(key, ClaimVerdict.DENIED)
+            return shares.ClaimAnswer(key, shares.ClaimVerdict.DENIED)
         if share is None:
-            return ClaimAnswer(key, ClaimVerdict.NOT_HELD)
+            return shares.ClaimAnswer(key, shares.ClaimVerdict.NOT_HELD)
         if is_wanted:
-            return ClaimAnswer(key, ClaimVerdict.DENIED)
+            return shares.ClaimAnswer(key, shares.ClaimVerdict.DENIED)
         if share.lease is not None:
             share.is_lending_stopped = True
-            return ClaimAnswer(key, ClaimVerdict.DENIED)
+            return shares.ClaimAnswer(key, shares.ClaimVerdict.DENIED)
         granted = self._granted_tokens(key, 0) + share.debit_tokens
         del self.shares_by_key[key]
-        return ClaimAnswer(key, ClaimVerdict.HANDED_OVER, granted)
+        return shares.ClaimAnswer(
+            key, shares.ClaimVerdict.HANDED_OVER, granted
+        )
 
     def take_over(
         self,
-        key: ShareKey,
+        key: shares.ShareKey,
         size_tokens: int,
-        answers: Iterable[ClaimAnswer],
+        answers: Iterable[shares.ClaimAnswer],
         now_s: float,
     ) -> bool:
         """Completes a claim once every other process has answered.
@@ -509,20 +336,24 @@
         self.claiming.discard(key)
         answers = list(answers)
         verdicts = [answer.verdict for answer in answers]
-        if ClaimVerdict.DENIED in verdicts or key in self.shares_by_key:
+        if shares.ClaimVerdict.DENIED in verdicts or key in self.shares_by_key:
             return key in self.shares_by_key
         debit = size_tokens
-        delay_s = GRANT_VISIBLE_S if key.slot is Slot.FIRST else LENDER_LEASE_S
+        delay_s = (
+            GRANT_VISIBLE_S
+            if key.slot is shares.Slot.FIRST
+            else LENDER_LEASE_S
+        )
         for answer in answers:
-            if answer.verdict is ClaimVerdict.HANDED_OVER:
+            if answer.verdict is shares.ClaimVerdict.HANDED_OVER:
                 debit = min(size_tokens, answer.granted_tokens)
                 delay_s = GRANT_VISIBLE_S
-        self.shares_by_key[key] = Share(
+        self.shares_by_key[key] = shares.Share(
             key, size_tokens, debit, now_s + delay_s
         )
         return True
 
-    def resume_lending(self, key: ShareKey) -> None:
+    def resume_lending(self, key: shares.ShareKey) -> None:
         """Allows leases on a share again after a claim has stopped them."""
         share = self.shares_by_key.get(key)
         if share is not None:
@@ -533,9 +364,9 @@
     def reconcile(
         self,
         endpoint_id: ids.EndpointId,
-        holdings: Iterable[Holding],
+        holdings: Iterable[shares.Holding],
         asked_at_s: float,
-    ) -> list[Grant]:
+    ) -> list[shares.Grant]:
         """Reconciles the ledger with the requests that an engine holds.
 
         Args:
@@ -550,26 +381,30 @@
         """
         self.expire(endpoint_id, asked_at_s)
         reported = list(holdings)
-        for slot in Slot:
-            share = self.shares_by_key.get(ShareKey(endpoint_id, slot))
+        for slot in shares.Slot:
+            share = self.shares_by_key.get(shares.ShareKey(endpoint_id, slot))
             if share is not None and asked_at_s >= share.reconcile_from_s:
                 share.debit_tokens = self._unrecorded_tokens(share, reported)
         return self._release_missing(endpoint_id, reported, asked_at_s)
 
-    def _unrecorded_tokens(self, share: Share, reported: list[Holding]) -> int:
+    def _unrecorded_tokens(
+        self, share: shares.Share, reported: list[shares.Holding]
+    ) -> int:
         return sum(
             holding.slot_tokens(share.key.slot)
             for holding in reported
             if not self._is_recorded(share, holding)
         )
 
-    def _is_recorded(self, share: Share, holding: Holding) -> bool:
+    def _is_recorded(
+        self, share: shares.Share, holding: shares.Holding
+    ) -> bool:
         """Returns whether this ledger already counts a holding's tokens.
 
         The tokens are counted either by a grant in the ledger or by the
         running lease on the second share.
         """
-        if share.key.slot is Slot.FIRST:
+        if share.key.slot is shares.Slot.FIRST:
             return holding.grant_id in self.grants_by_id
         if share.lease is not None:
             if holding.lease_number == share.lease.number:
@@ -581,9 +416,9 @@
     def _release_missing(
         self,
         endpoint_id: ids.EndpointId,
-        reported: list[Holding],
+        reported: list[shares.Holding],
         asked_at_s: float,
-    ) -> list[Grant]:
+    ) -> list[shares.Grant]:
         reported_ids = {h.grant_id for h in reported if h.owner == self.me}
         missing = [
             grant
@@ -595,7 +430,7 @@
             self.release(grant.grant_id)
         return missing
 
-    def unreconciled_shares(self) -> Iterator[Share]:
+    def unreconciled_shares(self) -> Iterator[shares.Share]:
         """Yields the shares with tokens that unrecorded grants may use."""
         for share in self.shares_by_key.values():
             if share.debit_tokens > 0:
--- a/packages/galenaquay/galenaquay/limits/owner.py
+++ b/packages/galenaquay/galenaquay/limits/owner.py
@@ -18,6 +18,7 @@
 from ..engines import state as engine_states
 from . import ledger as ledgers
 from ..routing import bands
+from . import shares
 
 # Longest prefill backlog inside an engine with which the engine still receives
 # another request, in seconds.
@@ -41,7 +42,7 @@
     request_id: ids.RequestId
     attempt: int
     endpoint_id: ids.EndpointId
-    entry: ledgers.ProcessId
+    entry: shares.ProcessId
     tokens: int
     prompt_tokens: int
     # Time until the deadline of the request, in seconds.
@@ -59,7 +60,7 @@
 class IssuedGrant:
     """A grant with its queueing time and its priority at the engine."""
 
-    grant: ledgers.Grant
+    grant: shares.Grant
     queued_s: float
     priority: int
 
@@ -275,9 +276,9 @@
     def reconcile(
         self,
         endpoint_id: ids.EndpointId,
-        holdings: tuple[ledgers.Holding, ...],
+        holdings: tuple[shares.Holding, ...],
         asked_at_s: float,
-    ) -> list[ledgers.Grant]:
+    ) -> list[shares.Grant]:
         """Reconciles the ledger with the requests that an engine holds.
 
         Args:
--- a/packages/galenaquay/galenaquay/membership/heartbeats.py
+++ b/packages/galenaquay/galenaquay/membership/heartbeats.py
@@ -21,6 +21,7 @@
 from ..configuration import documents
 from ..limits import claims
 from ..limits import ledger
+from ..limits import shares
 from ..ports import peers as peers_port
 from . import view as views
 
@@ -163,7 +164,7 @@
         first = [
             key.endpoint_id
             for key in self._ledger.shares_by_key
-            if key.slot is ledger.Slot.FIRST
+            if key.slot is shares.Slot.FIRST
             and key.endpoint_id in document.endpoints_by_id
         ]
         return [
@@ -238,7 +239,7 @@
         )
 
     def _lend_shares(
-        self, borrower: ledger.ProcessId, endpoint_ids: Iterable[str]
+        self, borrower: shares.ProcessId, endpoint_ids: Iterable[str]
     ) -> list[peer_pb2.ShareLease]:
         leases = []
         for name in endpoint_ids:
--- a/packages/galenaquay/galenaquay/membership/view.py
+++ b/packages/galenaquay/galenaquay/membership/view.py
@@ -16,7 +16,7 @@
 from .. import ids
 from ..configuration import documents
 from ..configuration import versions
-from ..limits import ledger
+from ..limits import shares
 from . import ranks
 
 # Number of heartbeat intervals without a heartbeat after which a peer is
@@ -74,7 +74,7 @@
     """The VMs of the zone, their state and their roles, as known here."""
 
     # This process.
-    me: ledger.ProcessId
+    me: shares.ProcessId
     zone: ids.ZoneName
     # Documents in force.
     configs: versions.DocumentInForce[documents.Document]
@@ -90,7 +90,7 @@
 
     def __init__(
         self,
-        me: ledger.ProcessId,
+        me: shares.ProcessId,
         zone: ids.ZoneName,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -133,7 +133,7 @@
             return PeerStatus.SUSPECT
         return PeerStatus.LEAVING if peer.is_leaving else PeerStatus.ALIVE
 
-    def is_gone(self, process: ledger.ProcessId) -> bool:
+    def is_gone(self, process: shares.ProcessId) -> bool:
         """Tells whether a process has certainly ended.
 
         The platform has terminated a VM that is no longer in its list. A
@@ -154,7 +154,7 @@
         return peer.incarnation != process.incarnation
 
     def record_heartbeat(
-        self, sender: ledger.ProcessId, heartbeat: peer_pb2.HeartbeatRequest
+        self, sender: shares.ProcessId, heartbeat: peer_pb2.HeartbeatRequest
     ) -> None:
         """Records the state and the loads that a heartbeat reports."""
         peer = self.peers_by_id.setdefault(
@@ -233,15 +233,15 @@
         role = ranks.engine_role(ids.EndpointId(endpoint.id))
         return self.rank(role, ids.ZoneName(endpoint.zone), OWNERS)
 
-    def wanted_shares(self) -> list[ledger.ShareKey]:
+    def wanted_shares(self) -> list[shares.ShareKey]:
         """Returns the shares of engines' memory that this VM should hold."""
         document = self.configs.document
         if document is None or self.is_leaving:
             return []
         return [
-            ledger.ShareKey(ids.EndpointId(endpoint.id), slot)
+            shares.ShareKey(ids.EndpointId(endpoint.id), slot)
             for endpoint in self.zone_engines(document)
-            for slot in ledger.wanted_slots(
+            for slot in shares.wanted_slots(
                 self.owners(endpoint), self.me.vm_id
             )
         ]
--- a/packages/galenaquay/galenaquay/ports/engine.py
+++ b/packages/galenaquay/galenaquay/ports/engine.py
@@ -5,7 +5,7 @@
 
 from .. import codes
 from .. import ids
-from ..limits import ledger
+from ..limits import shares
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,7 +65,7 @@
 
     # Changes whenever the engine restarts.
     incarnation: int
-    holdings: tuple[ledger.Holding, ...]
+    holdings: tuple[shares.Holding, ...]
 
 
 class ResponseStream(Protocol):
--- a/packages/galenaquay/galenaquay/serve.py
+++ b/packages/galenaquay/galenaquay/serve.py
@@ -31,6 +31,7 @@
 from .limits import grants as grants_module
 from .limits import ledger
 from .limits import owner as owner_module
+from .limits import shares
 from .membership import heartbeats as heartbeats_module
 from .membership import incarnations
 from .membership import view as views
@@ -56,7 +57,7 @@
 
     def __init__(self, settings: settings_module.Settings) -> None:
         self.settings = settings
-        me = ledger.ProcessId(
+        me = shares.ProcessId(
             settings.typed_vm_id, incarnations.draw_incarnation()
         )
         self.view = views.View(me, settings.typed_zone)
--- a/packages/galenaquayctl/galenaquayctl/benches/costs.py
+++ b/packages/galenaquayctl/galenaquayctl/benches/costs.py
@@ -14,6 +14,7 @@
 from galenaquay.configuration import versions
 from galenaquay import ids
 from galenaquay.limits import ledger
+from galenaquay.limits import shares
 from galenaquay.membership import view as views
 from galenaquay.routing import policies
 from galenaquay_standins import deployments
@@ -65,7 +66,7 @@
 
 
 def _measure_routing_us(engines: int, seed: int) -> float:
-    holder = ledger.ProcessId(ids.VmId('a'), ids.Incarnation(1))
+    holder = shares.ProcessId(ids.VmId('a'), ids.Incarnation(1))
     view = views.View(holder, ids.ZoneName('lautoka'))
     view.configs.offer(orjson.dumps(_config(engines, 10)))
     document = view.configs.document
@@ -98,12 +99,12 @@
     Args:
         running: Number of other grants on the same engine.
     """
-    holder = ledger.ProcessId(ids.VmId('a'), ids.Incarnation(1))
+    holder = shares.ProcessId(ids.VmId('a'), ids.Incarnation(1))
     engine_ledger = ledger.Ledger(holder)
     engine = ids.EndpointId('e')
-    for slot in ledger.Slot:
+    for slot in shares.Slot:
         engine_ledger.take_over(
-            ledger.ShareKey(engine, slot), 225_000, [], 0.0
+            shares.ShareKey(engine, slot), 225_000, [], 0.0
         )
     now_s = 2 * ledger.LENDER_LEASE_S
     engine_ledger.reconcile(engine, [], now_s)
--- a/tests/features/steps/queue_steps.py
+++ b/tests/features/steps/queue_steps.py
@@ -10,11 +10,12 @@
 from galenaquay import ids
 from galenaquay.limits import ledger
 from galenaquay.limits import owner as owners
+from galenaquay.limits import shares
 from galenaquay.ports import engine as engine_port
 
 CAPACITY = 1000
 ENGINE = ids.EndpointId('e1')
-OWN_PROCESS = ledger.ProcessId(ids.VmId('a'), ids.Incarnation(1))
+OWN_PROCESS = shares.ProcessId(ids.VmId('a'), ids.Incarnation(1))
 ENDPOINT = documents.Endpoint(
     id='e1',
     zone='z',
@@ -46,8 +47,8 @@
     context.now = 100.0
     context.is_serving = True
     owner_ledger = ledger.Ledger(OWN_PROCESS)
-    for slot in ledger.Slot:
-        key = ledger.ShareKey(ENGINE, slot)
+    for slot in shares.Slot:
+        key = shares.ShareKey(ENGINE, slot)
         owner_ledger.take_over(key, CAPACITY // 2, [], 0.0)
     owner_ledger.reconcile(ENGINE, [], 50.0)
     context.owner = owners.Owner(
--- a/tests/properties/account_property.py
+++ b/tests/properties/account_property.py
@@ -8,7 +8,7 @@
 from galenaquay.configuration import documents
 from galenaquay import ids
 from galenaquay.limits import accounts
-from galenaquay.limits import ledger
+from galenaquay.limits import shares
 from galenaquay.membership import view as views
 from galenaquay_api import peer_pb2
 from hypothesis import strategies as st
@@ -79,7 +79,7 @@
         self.vms = []
         self.spent_tokens = 0
         for number in range(VMS):
-            me = ledger.ProcessId(
+            me = shares.ProcessId(
                 ids.VmId(f'vm{number}'), ids.Incarnation(number + 1)
             )
             view = views.View(me, ids.ZoneName('z'), lambda: self.now_s)
@@ -134,7 +134,7 @@
         limiter = self.find_limiter(address)
         if limiter is None:
             return codes.failure(codes.Code.OWNER_UNREACHABLE)
-        claimant = ledger.ProcessId(
+        claimant = shares.ProcessId(
             ids.VmId(request.sender.vm_id), ids.Incarnation(1)
         )
         new_owner = limiter.yield_to(
--- a/tests/properties/ledger_machine.py
+++ b/tests/properties/ledger_machine.py
@@ -14,6 +14,7 @@
 
 from galenaquay import ids
 from galenaquay.limits import ledger
+from galenaquay.limits import shares
 from galenaquay.membership import ranks
 
 CAPACITY = 1000
@@ -25,7 +26,7 @@
 # and reconciliations must be complete.
 FAULT_FREE_ROUNDS = 12
 PICK = st.integers(min_value=0, max_value=5)
-ENTRY = ledger.ProcessId(ids.VmId('z'), ids.Incarnation(9))
+ENTRY = shares.ProcessId(ids.VmId('z'), ids.Incarnation(9))
 
 
 @dataclasses.dataclass(eq=False)
@@ -44,8 +45,8 @@
 class Reply:
     """A reply to a heartbeat, in transit; it carries a lease."""
 
-    borrower: ledger.ProcessId
-    lender: ledger.ProcessId
+    borrower: shares.ProcessId
+    lender: shares.ProcessId
     number: int
     tokens: int
     asked_at_s: float
@@ -55,7 +56,7 @@
 class Report:
     """The engine's report of its held requests, in transit to an owner."""
 
-    owner: ledger.ProcessId
+    owner: shares.ProcessId
     holdings: list
     asked_at_s: float
 
@@ -84,7 +85,7 @@
         incarnation = ids.Incarnation(self.next_incarnation)
         self.next_incarnation += 1
         self.ledgers_by_vm[vm] = ledger.Ledger(
-            ledger.ProcessId(vm, incarnation)
+            shares.ProcessId(vm, incarnation)
         )
         self.list_version_by_vm[vm] = list_version
 
@@ -106,8 +107,8 @@
             self.vms_by_list_version[self.list_version_by_vm[vm]],
             2,
         )
-        slots = ledger.wanted_slots(ranked, vm)
-        return [ledger.ShareKey(ENGINE, slot) for slot in slots]
+        slots = shares.wanted_slots(ranked, vm)
+        return [shares.ShareKey(ENGINE, slot) for slot in slots]
 
     # Time and the engine.
 
@@ -228,7 +229,7 @@
         vm = self.pick_running_vm(number)
         if vm is not None:
             holdings = [
-                ledger.parse_tag(ids.RequestId('r'), 1, g.tag())
+                shares.parse_tag(ids.RequestId('r'), 1, g.tag())
                 for g in self.running_grants
             ]
             self.reports.append(
@@ -290,16 +291,16 @@
             self.answer_claim(claim, claim.unasked_vms.pop())
 
     def denials(self, claim):
-        denied = ledger.ClaimVerdict.DENIED
-        return [ledger.ClaimAnswer(key, denied) for key in claim.keys]
+        denied = shares.ClaimVerdict.DENIED
+        return [shares.ClaimAnswer(key, denied) for key in claim.keys]
 
     def answer_claim(self, claim, peer):
         if peer not in self.ledgers_by_vm:
             # The VM of a process that has ended refuses connections, which
             # shows that the process holds no share.
-            verdict = ledger.ClaimVerdict.NOT_HELD
+            verdict = shares.ClaimVerdict.NOT_HELD
             claim.answers.extend(
-                ledger.ClaimAnswer(key, verdict) for key in claim.keys
+                shares.ClaimAnswer(key, verdict) for key in claim.keys
             )
         elif self.list_version_by_vm[peer] != claim.list_version:
             claim.answers.extend(self.denials(claim))
@@ -323,7 +324,7 @@
             claim.answers.extend(self.denials(claim))
         for key in claim.keys:
             answers = [a for a in claim.answers if a.key == key]
-            size = ledger.share_tokens(CAPACITY, key.slot)
+            size = shares.share_tokens(CAPACITY, key.slot)
             process_ledger.take_over(key, size, answers, self.now)
 
     @stateful.rule(number=PICK)
@@ -426,7 +427,7 @@
 
     def lend_all(self):
         """Lets each holder of a first share borrow, as heartbeats do."""
-        key = ledger.ShareKey(ENGINE, ledger.Slot.FIRST)
+        key = shares.ShareKey(ENGINE, shares.Slot.FIRST)
         for first, vm in enumerate(sorted(self.ledgers_by_vm)):
             if key in self.ledgers_by_vm[vm].shares_by_key:
                 for second in range(len(self.ledgers_by_vm)):
@@ -482,7 +483,7 @@
             for vm, process_ledger in self.ledgers_by_vm.items():
                 for key in self.wanted_keys(vm):
                     process_ledger.resume_lending(key)
-                if ledger.ShareKey(ENGINE, ledger.Slot.FIRST) in (
+                if shares.ShareKey(ENGINE, shares.Slot.FIRST) in (
                     process_ledger.shares_by_key
                 ):
                     borrower = sorted(self.ledgers_by_vm).index(vm)
--- a/tests/properties/ticket_machine.py
+++ b/tests/properties/ticket_machine.py
@@ -11,7 +11,7 @@
 
 from galenaquay import codes
 from galenaquay import ids
-from galenaquay.limits import ledger
+from galenaquay.limits import shares
 from galenaquay.outcomes import tickets
 from galenaquay.ports import services
 from hypothesis import stateful
@@ -65,7 +65,7 @@
 
     def start_home(self, number):
         self.incarnations += 1
-        me = ledger.ProcessId(
+        me = shares.ProcessId(
             ids.VmId(f'vm{number}'), ids.Incarnation(self.incarnations)
         )
         return tickets.Home(me, self.run_call, lambda: self.now_s)
