--- a/packages/galenaquay/galenaquay/adapters/callers_http.py
+++ b/packages/galenaquay/galenaquay/adapters/callers_http.py
@@ -13,12 +13,12 @@
 from typing import Any, Final
 
 from aiohttp import web
-import orjson
 
 from .. import codes
 from .. import ids
 from .. import settings as settings_module
 from . import caller_requests
+from . import caller_responses
 from ..configuration import documents
 from ..limits import accounts as accounts_module
 from ..limits import held as held_module
@@ -29,7 +29,6 @@
 from ..outcomes import service_calls
 from ..outcomes import tickets
 from ..routing import bands
-from ..streams import events
 from ..streams import sinks
 from . import tracing
 
@@ -138,10 +137,13 @@
             headers['Retry-After'] = str(max(1, round(failure.retry_after_s)))
         LOG.info(
             'request refused',
-            extra={'path': request.path, **_log_fields(failure)},
+            extra={
+                'path': request.path,
+                **caller_responses.log_fields(failure),
+            },
         )
         return web.json_response(
-            failure_body(failure),
+            caller_responses.failure_body(failure),
             status=failure.row.http_status,
             headers=headers,
         )
@@ -301,9 +303,12 @@
         if failure is not None and not sink.is_started:
             return self._failure_response(request, failure)
         if failure is None:
-            await sink.end(_ran_on_comment(completion) + _DONE)
+            await sink.end(caller_responses.ran_on_comment(completion) + _DONE)
         elif failure.code is not codes.Code.CALLER_LEFT:
-            await sink.end(_event(failure_body(failure)) + _DONE)
+            await sink.end(
+                caller_responses.event(caller_responses.failure_body(failure))
+                + _DONE
+            )
         return sink.response
 
     async def _collect(
@@ -319,7 +324,7 @@
             return self._failure_response(request, failure)
         data = bytes(sink.data)
         return web.json_response(
-            _completion_response(completion, data),
+            caller_responses.completion_response(completion, data),
             headers={
                 REQUEST_ID_HEADER: completion.request_id,
                 RESULT_CODE_HEADER: '0',
@@ -334,7 +339,7 @@
         started_at_s: float,
     ) -> None:
         took_ms = (time.monotonic() - started_at_s) * 1000
-        fields = _log_fields(failure)
+        fields = caller_responses.log_fields(failure)
         if failure is None:
             self._metrics.count_request(codes.Code.OK)
             self._metrics.record_duration(metrics_module.DURATION_MS, took_ms)
@@ -448,7 +453,7 @@
                 'route': call.route,
                 'ticket': str(call.ticket),
                 'status': outcome.response.status,
-                **_log_fields(None),
+                **caller_responses.log_fields(None),
             },
         )
         headers = {RESULT_CODE_HEADER: '0'}
@@ -460,54 +465,3 @@
             content_type=outcome.response.content_type,
             headers=headers,
         )
-
-
-def failure_body(failure: codes.Failure) -> dict[str, Any]:
-    """Returns the JSON body of an error response."""
-    return {
-        'error': {
-            'code': int(failure.code),
-            'type': failure.code.name,
-            'outcome': failure.certainty.value,
-            'retry': failure.row.retry.value,
-            'message': failure.reason,
-        }
-    }
-
-
-def _log_fields(failure: codes.Failure | None) -> dict[str, Any]:
-    if failure is None:
-        return {'code': 0, 'result': codes.Code.OK.name}
-    return {
-        'code': int(failure.code),
-        'result': failure.code.name,
-        'detail': failure.detail,
-    }
-
-
-def _event(body: dict[str, Any]) -> bytes:
-    return b'data: ' + orjson.dumps(body) + b'\n\n'
-
-
-def _ran_on_comment(completion: requests.Completion) -> bytes:
-    return f': ran on {",".join(completion.ran_on)}\n\n'.encode()
-
-
-def _completion_response(
-    completion: requests.Completion, data: bytes
-) -> dict[str, Any]:
-    text = events.extract_text(data)
-    choice: dict[str, Any] = {'index': 0, 'finish_reason': 'length'}
-    if completion.is_chat:
-        choice['message'] = {'role': 'assistant', 'content': text}
-    else:
-        choice['text'] = text
-    return {
-        'id': completion.request_id,
-        'object': (
-            'chat.completion' if completion.is_chat else 'text_completion'
-        ),
-        'model': completion.route.name,
-        'choices': [choice],
-        'usage': events.extract_usage(data),
-    }
