--- /dev/null
+++ b/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
@@ -0,0 +1,85 @@
+"""Faults that the stand-in of an engine injects into its responses."""
+
+import enum
+from typing import Final
+
+
+class Fault(enum.Enum):
+    """Fault that the engine injects into the next request."""
+
+    # Responds 503 with `X-Not-Executed` and does not execute the request.
+    REJECT = 'reject'
+    # Executes the request, then closes or resets the connection without a
+    # response.
+    CLOSE_CONNECTION = 'close'
+    RESET_CONNECTION = 'reset'
+    # Executes the request and responds with a body that is not a stream.
+    PLAIN_RESPONSE = 'plain'
+    # Executes the request and sends no response.
+    NO_RESPONSE = 'mute'
+    # Executes the request and responds 500.
+    SERVER_ERROR = 'fail'
+    # Responds 200 without `X-Response-Seal`.
+    NO_SEAL = 'unproved'
+    # Responds 200 with the attempt id of another request.
+    WRONG_ATTEMPT_ID = 'crossed'
+    # Executes the request and responds like a rejection, or a misdirected
+    # request, of an earlier request.
+    STALE_REJECTION = 'stale rejection'
+    STALE_MISDIRECTION = 'stale misdirection'
+    # Executes the request and responds like a rejection, without an id.
+    ANONYMOUS_REJECTION = 'anonymous rejection'
+    # Sends the complete response of a plain service twice.
+    DUPLICATE_RESPONSE = 'extra'
+    # Sends a body without a length. The connection is closed after the body,
+    # or reset 50 ms later; a stream is reset after a complete event.
+    NO_LENGTH = 'unframed'
+    NO_LENGTH_RESET = 'unframed reset'
+    # Sends a stream without a length and closes the connection in the middle
+    # of an event.
+    NO_LENGTH_PARTIAL_EVENT = 'unframed torn'
+    # Closes the connection in the middle of the response's head.
+    PARTIAL_HEAD = 'cut head'
+    # Resets the connection in the middle of a server-sent event.
+    PARTIAL_EVENT = 'torn'
+    # Sets a `Content-Encoding` that the client did not request.
+    ENCODED = 'encoded'
+    # Responds 503 with `X-Not-Executed` before the engine reads the body.
+    EARLY_RESPONSE = 'early'
+    # Executes the request and sends bytes until the client disconnects: a
+    # header, informational responses, a body without a length, or a stream
+    # without the end of an event.
+    ENDLESS_HEADER = 'endless header'
+    ENDLESS_INFORMATIONAL = 'endless informational'
+    ENDLESS_BODY = 'endless body'
+    ENDLESS_EVENT = 'endless event'
+    # Like `ENDLESS_EVENT`, but with a pause after each byte.
+    SLOW_ENDLESS_EVENT = 'slow endless event'
+
+
+# Faults that send bytes until the client disconnects.
+ENDLESS_FAULTS: Final = frozenset(
+    (
+        Fault.ENDLESS_HEADER,
+        Fault.ENDLESS_INFORMATIONAL,
+        Fault.ENDLESS_BODY,
+        Fault.ENDLESS_EVENT,
+        Fault.SLOW_ENDLESS_EVENT,
+    )
+)
+# Faults that send a body without a length.
+UNFRAMED_FAULTS: Final = frozenset(
+    (
+        Fault.NO_LENGTH,
+        Fault.NO_LENGTH_RESET,
+        Fault.NO_LENGTH_PARTIAL_EVENT,
+    )
+)
+# Faults that break a stream off.
+BREAKING_FAULTS: Final = frozenset(
+    (
+        Fault.PARTIAL_EVENT,
+        Fault.NO_LENGTH_RESET,
+        Fault.NO_LENGTH_PARTIAL_EVENT,
+    )
+)
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import enum
 import itertools
 import socket
 import struct
@@ -17,86 +16,11 @@
 
 import orjson
 
+from . import engine_faults
+
 _HEAD_END: Final = b'\r\n\r\n'
 
 
-class Fault(enum.Enum):
-    """Fault that the engine injects into the next request."""
-
-    # Responds 503 with `X-Not-Executed` and does not execute the request.
-    REJECT = 'reject'
-    # Executes the request, then closes or resets the connection without a
-    # response.
-    CLOSE_CONNECTION = 'close'
-    RESET_CONNECTION = 'reset'
-    # Executes the request and responds with a body that is not a stream.
-    PLAIN_RESPONSE = 'plain'
-    # Executes the request and sends no response.
-    NO_RESPONSE = 'mute'
-    # Executes the request and responds 500.
-    SERVER_ERROR = 'fail'
-    # Responds 200 without `X-Response-Seal`.
-    NO_SEAL = 'unproved'
-    # Responds 200 with the attempt id of another request.
-    WRONG_ATTEMPT_ID = 'crossed'
-    # Executes the request and responds like a rejection, or a misdirected
-    # request, of an earlier request.
-    STALE_REJECTION = 'stale rejection'
-    STALE_MISDIRECTION = 'stale misdirection'
-    # Executes the request and responds like a rejection, without an id.
-    ANONYMOUS_REJECTION = 'anonymous rejection'
-    # Sends the complete response of a plain service twice.
-    DUPLICATE_RESPONSE = 'extra'
-    # Sends a body without a length. The connection is closed after the body,
-    # or reset 50 ms later; a stream is reset after a complete event.
-    NO_LENGTH = 'unframed'
-    NO_LENGTH_RESET = 'unframed reset'
-    # Sends a stream without a length and closes the connection in the middle
-    # of an event.
-    NO_LENGTH_PARTIAL_EVENT = 'unframed torn'
-    # Closes the connection in the middle of the response's head.
-    PARTIAL_HEAD = 'cut head'
-    # Resets the connection in the middle of a server-sent event.
-    PARTIAL_EVENT = 'torn'
-    # Sets a `Content-Encoding` that the client did not request.
-    ENCODED = 'encoded'
-    # Responds 503 with `X-Not-Executed` before the engine reads the body.
-    EARLY_RESPONSE = 'early'
-    # Executes the request and sends bytes until the client disconnects: a
-    # header, informational responses, a body without a length, or a stream
-    # without the end of an event.
-    ENDLESS_HEADER = 'endless header'
-    ENDLESS_INFORMATIONAL = 'endless informational'
-    ENDLESS_BODY = 'endless body'
-    ENDLESS_EVENT = 'endless event'
-    # Like `ENDLESS_EVENT`, but with a pause after each byte.
-    SLOW_ENDLESS_EVENT = 'slow endless event'
-
-
-ENDLESS_FAULTS: Final = frozenset(
-    (
-        Fault.ENDLESS_HEADER,
-        Fault.ENDLESS_INFORMATIONAL,
-        Fault.ENDLESS_BODY,
-        Fault.ENDLESS_EVENT,
-        Fault.SLOW_ENDLESS_EVENT,
-    )
-)
-_UNFRAMED_FAULTS: Final = frozenset(
-    (
-        Fault.NO_LENGTH,
-        Fault.NO_LENGTH_RESET,
-        Fault.NO_LENGTH_PARTIAL_EVENT,
-    )
-)
-# Faults that break a stream off.
-_BREAKING_FAULTS: Final = frozenset(
-    (
-        Fault.PARTIAL_EVENT,
-        Fault.NO_LENGTH_RESET,
-        Fault.NO_LENGTH_PARTIAL_EVENT,
-    )
-)
 # Pause between two bytes of `Fault.SLOW_ENDLESS_EVENT`, in seconds.
 SLOW_BYTE_INTERVAL_S: Final = 0.1
 
@@ -152,7 +76,7 @@
         # Time from the head of a stream to its first event, in seconds.
         self.event_delay_s = 0.0
         self.body = b'{"ok":true}'
-        self.faults: list[Fault] = []
+        self.faults: list[engine_faults.Fault] = []
         # Number of bytes of the head sent by `Fault.PARTIAL_HEAD`.
         self.head_bytes = 0
         # Size of the whole head of that response.
@@ -255,7 +179,7 @@
         if self.faults and not target.startswith('/api/'):
             fault = self.faults.pop(0)
         request = ReceivedRequest(method, target, headers, b'')
-        if fault is Fault.EARLY_RESPONSE:
+        if fault is engine_faults.Fault.EARLY_RESPONSE:
             self.received.append(request)
             writer.write(_rejection('503 Busy', request.attempt_id))
             await asyncio.sleep(0.2)
@@ -335,50 +259,57 @@
     async def _respond(
         self,
         request: ReceivedRequest,
-        fault: Fault | None,
+        fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
     ) -> bool:
-        if fault is Fault.REJECT:
+        if fault is engine_faults.Fault.REJECT:
             writer.write(_rejection('503 Busy', request.attempt_id))
             return True
         request.has_run = True
         if fault in _STALE_RESPONSES:
             writer.write(_STALE_RESPONSES[fault])
             return True
-        if fault is Fault.CLOSE_CONNECTION:
+        if fault is engine_faults.Fault.CLOSE_CONNECTION:
             return False
-        if fault is Fault.RESET_CONNECTION:
+        if fault is engine_faults.Fault.RESET_CONNECTION:
             _reset(writer)
             return False
-        if fault is Fault.NO_RESPONSE:
+        if fault is engine_faults.Fault.NO_RESPONSE:
             await disconnect
             request.client_disconnected = True
             return False
-        if fault is Fault.PARTIAL_HEAD:
+        if fault is engine_faults.Fault.PARTIAL_HEAD:
             head = self._format_head(request, fault, 'Content-Length: 11')
             self.full_head_bytes = len(head)
             writer.write(head[: self.head_bytes])
             return False
-        if fault in ENDLESS_FAULTS:
+        if fault in engine_faults.ENDLESS_FAULTS:
             await self._send_without_end(request, fault, writer, disconnect)
             return False
-        if self.events and fault is not Fault.PLAIN_RESPONSE:
+        if self.events and fault is not engine_faults.Fault.PLAIN_RESPONSE:
             return await self._send_stream(request, fault, writer, disconnect)
         return self._send_plain(request, fault, writer)
 
     def _format_head(
-        self, request: ReceivedRequest, fault: Fault | None, extra: str
+        self,
+        request: ReceivedRequest,
+        fault: engine_faults.Fault | None,
+        extra: str,
     ) -> bytes:
-        status = '500 Failed' if fault is Fault.SERVER_ERROR else '200 OK'
+        status = (
+            '500 Failed'
+            if fault is engine_faults.Fault.SERVER_ERROR
+            else '200 OK'
+        )
         lines = [f'HTTP/1.1 {status}', extra]
         request_id = request.headers.get('x-attempt-id', '')
-        if fault is Fault.WRONG_ATTEMPT_ID:
+        if fault is engine_faults.Fault.WRONG_ATTEMPT_ID:
             request_id = 'another'
         lines.append(f'X-Attempt-Id: {request_id}')
-        if fault is not Fault.NO_SEAL:
+        if fault is not engine_faults.Fault.NO_SEAL:
             lines.append(f'X-Response-Seal: seal-of-{self.name}')
-        if fault is Fault.ENCODED:
+        if fault is engine_faults.Fault.ENCODED:
             lines.append('Content-Encoding: gzip')
         lines.append('X-Engine-Load: 1,0,8')
         if self.limit_per_s is not None:
@@ -388,7 +319,7 @@
     async def _send_without_end(
         self,
         request: ReceivedRequest,
-        fault: Fault,
+        fault: engine_faults.Fault,
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
     ) -> None:
@@ -399,19 +330,22 @@
             'Content-Type: text/event-stream\r\nConnection: close',
         )
         start, filler = {
-            Fault.ENDLESS_HEADER: (b'HTTP/1.1 200 OK\r\nX: ', b'a' * 4096),
-            Fault.ENDLESS_INFORMATIONAL: (
+            engine_faults.Fault.ENDLESS_HEADER: (
+                b'HTTP/1.1 200 OK\r\nX: ',
+                b'a' * 4096,
+            ),
+            engine_faults.Fault.ENDLESS_INFORMATIONAL: (
                 b'',
                 b'HTTP/1.1 103 Early Hints\r\n\r\n' * 100,
             ),
-            Fault.ENDLESS_BODY: (
+            engine_faults.Fault.ENDLESS_BODY: (
                 self._format_head(request, fault, 'Connection: close'),
                 b'a' * 4096,
             ),
-            Fault.ENDLESS_EVENT: (stream, b'a' * 4096),
-            Fault.SLOW_ENDLESS_EVENT: (stream, b'a'),
+            engine_faults.Fault.ENDLESS_EVENT: (stream, b'a' * 4096),
+            engine_faults.Fault.SLOW_ENDLESS_EVENT: (stream, b'a'),
         }[fault]
-        is_slow = fault is Fault.SLOW_ENDLESS_EVENT
+        is_slow = fault is engine_faults.Fault.SLOW_ENDLESS_EVENT
         writer.write(start)
         try:
             while not disconnect.done():
@@ -425,29 +359,32 @@
     def _send_plain(
         self,
         request: ReceivedRequest,
-        fault: Fault | None,
+        fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
     ) -> bool:
         length = f'Content-Length: {len(self.body)}'
-        if fault in (Fault.NO_LENGTH, Fault.NO_LENGTH_RESET):
+        if fault in (
+            engine_faults.Fault.NO_LENGTH,
+            engine_faults.Fault.NO_LENGTH_RESET,
+        ):
             length = 'Connection: close'
         response = self._format_head(request, fault, length) + self.body
         writer.write(response)
-        if fault is Fault.DUPLICATE_RESPONSE:
+        if fault is engine_faults.Fault.DUPLICATE_RESPONSE:
             writer.write(response)
-        if fault is Fault.NO_LENGTH_RESET:
+        if fault is engine_faults.Fault.NO_LENGTH_RESET:
             asyncio.get_running_loop().call_later(0.05, _reset, writer)
             return True
-        return fault is not Fault.NO_LENGTH
+        return fault is not engine_faults.Fault.NO_LENGTH
 
     async def _send_stream(
         self,
         request: ReceivedRequest,
-        fault: Fault | None,
+        fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
     ) -> bool:
-        is_chunked = fault not in _UNFRAMED_FAULTS
+        is_chunked = fault not in engine_faults.UNFRAMED_FAULTS
         framing = 'Transfer-Encoding: chunked'
         if not is_chunked:
             framing = 'Connection: close'
@@ -468,16 +405,16 @@
             filler = b'a' * self.event_filler_bytes
             event = b'id: %d\ndata: piece %d%s\n\n' % (number, number, filler)
             if (
-                fault in _BREAKING_FAULTS
+                fault in engine_faults.BREAKING_FAULTS
                 and number == first + self.events_before_reset
             ):
                 part = event[: len(event) // 2]
-                if fault is Fault.NO_LENGTH_RESET:
+                if fault is engine_faults.Fault.NO_LENGTH_RESET:
                     part = b''
                 writer.write(_chunk(part) if is_chunked else part)
                 await writer.drain()
                 await asyncio.sleep(0.02)
-                if fault is not Fault.NO_LENGTH_PARTIAL_EVENT:
+                if fault is not engine_faults.Fault.NO_LENGTH_PARTIAL_EVENT:
                     _reset(writer)
                 return False
             writer.write(_chunk(event) if is_chunked else event)
@@ -500,9 +437,11 @@
 
 
 _STALE_RESPONSES: Final = {
-    Fault.STALE_REJECTION: _rejection('503 Busy', 'earlier'),
-    Fault.STALE_MISDIRECTION: _rejection('421 Misdirected', 'earlier'),
-    Fault.ANONYMOUS_REJECTION: _rejection('503 Busy', ''),
+    engine_faults.Fault.STALE_REJECTION: _rejection('503 Busy', 'earlier'),
+    engine_faults.Fault.STALE_MISDIRECTION: _rejection(
+        '421 Misdirected', 'earlier'
+    ),
+    engine_faults.Fault.ANONYMOUS_REJECTION: _rejection('503 Busy', ''),
 }
 
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -23,7 +23,7 @@
 # First port of each scenario tagged `platform`. These ports are below those of
 # the shared fleet.
 FLEET_PORT = 25000
-PLATFORM_PORTS = iter(range(10000, FLEET_PORT - 150, 150))
+PLATFORM_PORTS = iter(range(7000, FLEET_PORT - 150, 150))
 
 
 def before_all(context):
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -1,14 +1,13 @@
 """Steps that simulate callers and engines of galenaquay_platform."""
 
 import asyncio
-import itertools
 import os
 
 from behave import given
 from behave import then
 from behave import when
 
-from galenaquay_standins import sealed_engine
+from galenaquay_standins import engine_faults
 from tests import platform_asking
 from tests import platform_support as support
 
@@ -18,7 +17,7 @@
 @given('each service applies the fault "{fault}" to its next request')
 def step_service_fault(context, fault):
     platform_asking.fixture(context).set_faults(
-        support.SERVICE, sealed_engine.Fault(fault)
+        support.SERVICE, engine_faults.Fault(fault)
     )
 
 
@@ -50,48 +49,19 @@
 
 @given('the first engine to run a request disconnects inside an event')
 def step_disconnect_in_event(context):
-    step_first_engine_fault(context, sealed_engine.Fault.PARTIAL_EVENT.value)
+    step_first_engine_fault(context, engine_faults.Fault.PARTIAL_EVENT.value)
 
 
 @given('the first engine to run a request applies the fault "{fault}"')
 def step_first_engine_fault(context, fault):
     # The engines share the list, so that only the first one takes the fault.
-    shared_faults = [sealed_engine.Fault(fault)]
+    shared_faults = [engine_faults.Fault(fault)]
     for engine in platform_asking.fixture(context).engines_by_name.values():
         if engine.service == support.POOL:
             engine.faults = shared_faults
     context.torn = True
 
 
-@given(
-    'the engines that run a request apply the faults "{first}", then "{then}"'
-)
-def step_engine_faults(context, first, then):
-    shared_faults = [sealed_engine.Fault(first), sealed_engine.Fault(then)]
-    for engine in platform_asking.fixture(context).engines_by_name.values():
-        if engine.service == support.POOL:
-            engine.faults = shared_faults
-            context.events_before_break = engine.events_before_reset
-
-
-@given('requests may be sent to {count:d} endpoints')
-def step_max_attempts(context, count):
-    fixture = platform_asking.fixture(context)
-    routes = support.configuration()['routes']
-    for each_route in routes:
-        each_route['maxAttempts'] = count
-    fixture.publish(routes=routes)
-    platform_asking.run(context, asyncio.sleep(0.5))
-
-
-@then('the caller receives the events before the break and nothing else')
-def step_events_before_break(context):
-    expected = event_bytes(range(context.events_before_break))
-    assert context.response.body == expected, context.response
-    # Nothing follows the chunk of the last event, not even invalid bytes.
-    assert context.response.raw.endswith(b'\n\n\r\n'), context.response.raw
-
-
 @then('the endpoints sent at most {megabytes:d} MB without end')
 def step_endless_bytes(context, megabytes):
     engines = platform_asking.fixture(context).engines_by_name.values()
@@ -410,53 +380,6 @@
     context.response = platform_asking.run(context, run_step())
 
 
-@then('the caller receives {count:d} events')
-def step_event_count(context, count):
-    assert context.response.body == event_bytes(range(count)), context.response
-
-
-@then('an answer to "{target}" whose head is cut at any byte gives 502')
-def step_cut_head(context, target):
-    fixture = platform_asking.fixture(context)
-    service = support.POOL if target.startswith('/tell') else support.SERVICE
-    for count in itertools.count():
-        for engine in fixture.engines_by_name.values():
-            engine.head_bytes = count
-        fixture.set_faults(service, sealed_engine.Fault.PARTIAL_HEAD)
-        try:
-            response = platform_asking.send_post(
-                context, target, b'{}', X_Token_Counts='5000,500'
-            )
-        finally:
-            fixture.set_faults(service)
-        assert response.status == 502, (count, response)
-        assert response.is_complete
-        received = fixture.executed_requests(service)
-        assert len(received) == count + 1, (len(received), count)
-        head_bytes = max(
-            engine.full_head_bytes
-            for engine in fixture.engines_by_name.values()
-        )
-        if count + 1 == head_bytes:
-            return
-
-
-@when('a resumable stream is requested')
-def step_resumable_stream(context):
-    platform_asking.send_post(
-        context, '/ask/x', b'{}', X_Token_Counts='5000,500'
-    )
-
-
-def event_bytes(numbers):
-    return b''.join(b'id: %d\ndata: piece %d\n\n' % (i, i) for i in numbers)
-
-
-@then('the caller receives every event once and in order')
-def step_events(context):
-    assert context.response.body == event_bytes(range(8)), context.response
-
-
 @then('the response is complete')
 def step_complete(context):
     assert context.response.status == 200, context.response
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 import signal
 import time
 
+from galenaquay_standins import engine_faults
 from galenaquay_standins import sealed_engine
 
 FAULTS_BY_NAME = {}
@@ -69,7 +70,7 @@
     engine = world.engines_by_name[rng.choice(sorted(world.engines_by_name))]
     kinds = [
         k
-        for k in sealed_engine.Fault
+        for k in engine_faults.Fault
         if k.name != 'ENCODED' and k not in sealed_engine.ENDLESS_FAULTS
     ]
     engine.faults = [rng.choice(kinds) for _ in range(rng.randint(1, 4))]
