Give up unframed answers of ended endpoints

Change: after the end of such a body one connection is opened; if the endpoint refuses it, the answer is broken: a stream is resumed where that is allowed, else left incomplete. Bodies with a length or chunks are not affected.

--- a/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
+++ b/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
@@ -38,6 +38,9 @@
     # Sends a stream without a length and closes the connection in the middle
     # of an event.
     NO_LENGTH_PARTIAL_EVENT = 'unframed torn'
+    # Sends a stream without a length and ends like a crashed process after a
+    # complete event.
+    NO_LENGTH_CRASH = 'unframed crash'
     # Closes the connection in the middle of the response's head.
     PARTIAL_HEAD = 'cut head'
     # Resets the connection in the middle of a server-sent event.
@@ -73,6 +76,7 @@
         Fault.NO_LENGTH,
         Fault.NO_LENGTH_RESET,
         Fault.NO_LENGTH_PARTIAL_EVENT,
+        Fault.NO_LENGTH_CRASH,
     )
 )
 # Faults that break a stream off.
@@ -81,5 +85,6 @@
         Fault.PARTIAL_EVENT,
         Fault.NO_LENGTH_RESET,
         Fault.NO_LENGTH_PARTIAL_EVENT,
+        Fault.NO_LENGTH_CRASH,
     )
 )
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -19,6 +19,12 @@
 from . import engine_faults
 
 _HEAD_END: Final = b'\r\n\r\n'
+_BREAKS_BETWEEN_EVENTS: Final = frozenset(
+    (
+        engine_faults.Fault.NO_LENGTH_RESET,
+        engine_faults.Fault.NO_LENGTH_CRASH,
+    )
+)
 
 
 # Pause between two bytes of `Fault.SLOW_ENDLESS_EVENT`, in seconds.
@@ -409,12 +415,14 @@
                 and number == first + self.events_before_reset
             ):
                 part = event[: len(event) // 2]
-                if fault is engine_faults.Fault.NO_LENGTH_RESET:
+                if fault in _BREAKS_BETWEEN_EVENTS:
                     part = b''
                 writer.write(_chunk(part) if is_chunked else part)
                 await writer.drain()
                 await asyncio.sleep(0.02)
-                if fault is not engine_faults.Fault.NO_LENGTH_PARTIAL_EVENT:
+                if fault is engine_faults.Fault.NO_LENGTH_CRASH:
+                    self.end()
+                elif fault is not engine_faults.Fault.NO_LENGTH_PARTIAL_EVENT:
                     _reset(writer)
                 return False
             writer.write(_chunk(event) if is_chunked else event)
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -281,6 +281,7 @@
                 again.
         """
         body = await _read_whole(response)
+        await self._check_orderly_end(response)
         took_s = self._loop.time() - self._sent_s
         if response.head.status >= 500:
             self._forwarded.error_response = (response.head, body)
@@ -342,11 +343,28 @@
                 await self._forwarded.relay.pass_on(response.head, event)
         if cutter.leftover():
             raise exchange.ExchangeBrokenError('ended inside an event')
+        await self._check_orderly_end(response)
         if not self._writer.is_started:
             await self._writer.start(response.head)
         await self._writer.finish()
         self._dependencies.quarantine.record_answer(self._request.shared_parts)
 
+    async def _check_orderly_end(self, response: exchange.Response) -> None:
+        """Checks that a body without framing did not end with its endpoint.
+
+        The connections of a crashed process may end like those that it closes
+        after a complete body.
+
+        Raises:
+            exchange.ExchangeBrokenError: The endpoint has ended.
+        """
+        if not response.head.is_framed and (
+            await self._dependencies.exchange.has_ended(
+                self._placement.endpoint
+            )
+        ):
+            raise exchange.ExchangeBrokenError('ended with its endpoint')
+
     def _check_answered(self) -> None:
         """Records that the engine writes an answer, once it has for a time."""
         writing_s = self.writing_s()
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -136,6 +136,9 @@
     # Whether the body is a stream of server-sent events.
     is_stream: bool
     load: LoadHint | None = None
+    # Whether the end of the body is marked, by a length or by chunks. Any
+    # other body ends with its connection.
+    is_framed: bool = True
     # Requests per second that the endpoint takes from all VMs together; None
     # if it names no limit.
     limit_per_s: float | None = None
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -91,6 +91,8 @@
       | unframed torn  | /tell/x | incomplete | 3      |
       | unframed reset | /ask/x  | complete   | 8      |
       | unframed reset | /tell/x | incomplete | 3      |
+      | unframed crash | /ask/x  | complete   | 8      |
+      | unframed crash | /tell/x | incomplete | 3      |
 
   Scenario Outline: An answer whose head is cut gives no success
     Then an answer to "<target>" whose head is cut at any byte gives 502
