Number the parts as facts of their own

Found when reading the diff. What VMs share as changes is numbered in one table, in which parts of prompts stood by their bare ids: with an id that another kind of fact has too, forgetting the part made the other unknown to VMs that start later. The key of a part names its kind now.

Evidence: the new property "equal_ids" failed before and passes.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -321,8 +321,9 @@
     ) -> fleet_pb2.LoadReply:
         """Applies a member's load report and returns the reply to it.
 
-        A report is ignored unless its number is higher than that of every
-        report applied before from the same process.
+        Its loads are ignored unless its number is higher than that of every
+        report applied before from the same process. Shared facts are applied
+        from any report, since each has an age of its own.
         """
         sender = fleet_messages.member_from_message(report.sender)
         key = (sender.vm_id, sender.incarnation)
--- a/packages/galenaquay/galenaquay/limits/quarantine.py
+++ b/packages/galenaquay/galenaquay/limits/quarantine.py
@@ -217,7 +217,7 @@
                 else now_s - part.cleared_at_s,
             )
             for part_id, part in self._parts_by_id.items()
-            if self._revisions.is_newer(part_id, revision)
+            if self._revisions.is_newer(_fact(part_id), revision)
         ]
 
     def merge(self, reports: Iterable[ReportedPart]) -> None:
@@ -261,7 +261,7 @@
             self._clear(part_id, part, answered_at_s)
             return True
         part.ends_by_run[run] = end
-        self._revisions.record_change(part_id)
+        self._revisions.record_change(_fact(part_id))
         return True
 
     def _clear(
@@ -273,7 +273,7 @@
             for run, end in part.ends_by_run.items()
             if end.ended_at_s > cleared_at_s
         }
-        self._revisions.record_change(part_id)
+        self._revisions.record_change(_fact(part_id))
 
     def _derive_blamed(self) -> None:
         """Updates the blamed parts; logs those that are new or cleared."""
@@ -351,7 +351,12 @@
 
     def _forget(self, part_id: ids.PromptPartId) -> None:
         del self._parts_by_id[part_id]
-        self._revisions.forget(part_id)
+        self._revisions.forget(_fact(part_id))
+
+
+def _fact(part_id: ids.PromptPartId) -> tuple[str, ids.PromptPartId]:
+    """Returns the key of a part among all shared facts."""
+    return ('part', part_id)
 
 
 def _without(
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -13,6 +13,7 @@
       | documents            | Documents that two VMs forward to a third VM               |
       | cold                 | Limits of cold endpoints for 1 to 100 VMs                  |
       | named_limit          | Rates that endpoints name, for 1 to 100 VMs                |
+      | equal_ids            | A part of prompts and an endpoint with the same id         |
       | named_limits_spread  | Rates that one of sixty VMs has heard                      |
       | budget               | The attempt budget of eight VMs together                   |
       | short_avoids_long    | Short prompts avoid engines with long prompts              |
--- a/tests/properties/sharing_properties.py
+++ b/tests/properties/sharing_properties.py
@@ -1,6 +1,7 @@
 """Properties of what VMs tell each other as changes, in simulated time."""
 
 from galenaquay import ids
+from galenaquay.limits import quarantine
 
 from tests.properties import fleet_properties
 from tests.properties import quarantine_properties
@@ -96,3 +97,24 @@
     fleet.vms[40].named_limits.record_answer(ENDPOINT, None)
     fleet.run_rounds(3)
     assert all(vm.named_limits.per_s(ENDPOINT) is None for vm in fleet.vms)
+
+
+def check_equal_ids():
+    """A part and an endpoint with the same id are shared independently."""
+    fleet = SharingFleet()
+    fleet.vms[7].named_limits.record_answer(ids.EndpointId(PART), 1.5)
+    fleet.run_rounds(3)
+    first = fleet.vms[7].quarantine
+    first.record_end(
+        quarantine_properties.make_engine(0), (PART,), fleet.now_s
+    )
+    first.record_answer((PART,))
+    fleet.run_rounds(3)
+    # All VMs forget the part, and none the limit.
+    fleet.now_s += quarantine.CLEARED_VALID_S + 2
+    assert not any(vm.quarantine.find_blamed((PART,)) for vm in fleet.vms)
+    fleet.start_vm(60)
+    fleet.run_rounds(20)
+    assert all(
+        vm.named_limits.per_s(ids.EndpointId(PART)) == 1.5 for vm in fleet.vms
+    )
