--- a/packages/galenaquay/galenaquay/limits/named_limits.py
+++ b/packages/galenaquay/galenaquay/limits/named_limits.py
@@ -86,7 +86,7 @@
             return
         self._limits_by_id[endpoint_id] = _Limit(per_s, self._clock())
         if old is None or old.per_s != per_s:
-            self._revisions.record_change(endpoint_id)
+            self._revisions.record_change(_fact(endpoint_id))
             self._report_soon()
             self._log_change(endpoint_id, old, per_s, is_own=True)
 
@@ -96,7 +96,7 @@
         return [
             ReportedLimit(endpoint_id, limit.per_s, now_s - limit.heard_at_s)
             for endpoint_id, limit in self._limits_by_id.items()
-            if self._revisions.is_newer(endpoint_id, revision)
+            if self._revisions.is_newer(_fact(endpoint_id), revision)
         ]
 
     def merge(self, reports: Iterable[ReportedLimit]) -> None:
@@ -118,10 +118,10 @@
             # The other VM, and those it has told, do not know what this VM
             # has heard since.
             if heard_at_s < old.heard_at_s - SAME_TIME_S:
-                self._revisions.record_change(endpoint_id)
+                self._revisions.record_change(_fact(endpoint_id))
             return
         self._limits_by_id[endpoint_id] = _Limit(report.per_s, heard_at_s)
-        self._revisions.record_change(endpoint_id)
+        self._revisions.record_change(_fact(endpoint_id))
         self._log_change(endpoint_id, old, report.per_s, is_own=False)
 
     def _log_change(
@@ -151,4 +151,9 @@
         for endpoint_id, limit in list(self._limits_by_id.items()):
             if limit.heard_at_s < now_s - HEARD_VALID_S:
                 del self._limits_by_id[endpoint_id]
-                self._revisions.forget(endpoint_id)
+                self._revisions.forget(_fact(endpoint_id))
+
+
+def _fact(endpoint_id: ids.EndpointId) -> tuple[str, ids.EndpointId]:
+    """Returns the key of an endpoint's limit among all shared facts."""
+    return ('limit', endpoint_id)
