Leave out endpoints that say so in answers

Cause: no code read Server-Leaving, nor Retry-After in an endpoint's 503. Ruled out: reading them in placement alone, which reservations and retries would pass by. Change: exchange.Notice holds what an endpoint says of itself (load, rate, shutdown, time), decoded once in the adapter, from answers to requests, orders and reports. limits/availability.py answers the one question of placement, parts of prompts and reservations, asked again before a request is sent. A shutdown holds for one run of the endpoint and is shared like named limits; the time it asks for concerns this VM alone. Callers are told when an endpoint takes requests again, spread. An endpoint that asks for time loses no standing.

--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -19,6 +19,7 @@
 from . import engine_faults
 
 _HEAD_END: Final = b'\r\n\r\n'
+_NS_PER_MS: Final = 1_000_000
 _BREAKS_BETWEEN_EVENTS: Final = frozenset(
     (
         engine_faults.Fault.NO_LENGTH_RESET,
@@ -45,6 +46,11 @@
     client_disconnected: bool = False
     # On the monotonic clock, in seconds.
     received_at_s: float = dataclasses.field(default_factory=time.monotonic)
+    # Run of the engine, by its start in Unix milliseconds.
+    run_started_at_ms: int = 0
+    # What the engine says of itself in the response.
+    says_leaving: bool = False
+    retry_after: str | None = None
 
     @property
     def attempt_id(self) -> str:
@@ -79,6 +85,8 @@
         self.event_filler_bytes = 0
         # Time between two events of a stream, in seconds.
         self.event_interval_s = 0.01
+        # Time before an answer that is no stream, in seconds.
+        self.answer_delay_s = 0.0
         # Time from the head of a stream to its first event, in seconds.
         self.event_delay_s = 0.0
         self.body = b'{"ok":true}'
@@ -94,6 +102,13 @@
         self.endless_bytes = 0
         # Requests per second that answers name as the limit; None names none.
         self.limit_per_s: float | None = None
+        # Whether all answers say that this engine shuts down.
+        self.is_leaving = False
+        # Text of the Retry-After header with which the engine turns all
+        # requests away; None turns none away.
+        self.retry_after: str | None = None
+        # When this run of the engine started, in Unix milliseconds.
+        self.started_at_ms = time.time_ns() // _NS_PER_MS
         # Id of a part of prompts that ends this engine as it begins to answer.
         self.deadly_part = ''
         # Called when the engine has ended by itself.
@@ -118,6 +133,7 @@
             'state': state,
             'coldRemainingMs': 0,
             'seq': next(self._numbers),
+            'born': self.started_at_ms,
         }
 
     async def start(self) -> None:
@@ -140,6 +156,12 @@
             writer.transport.abort()
         self.on_end()
 
+    def restart(self) -> None:
+        """Begins another run of the engine under the same id and address."""
+        self.is_leaving = False
+        self.retry_after = None
+        self.started_at_ms += 1
+
     def executed_requests(self) -> list[ReceivedRequest]:
         """Returns the requests that the engine executed."""
         return [request for request in self.received if request.has_run]
@@ -198,10 +220,24 @@
             return self._handle_order(request, writer)
         if target == '/api/report':
             return self._send_report(writer)
+        request.run_started_at_ms = self.started_at_ms
+        request.says_leaving = self.is_leaving
+        request.retry_after = self.retry_after
         self.received.append(request)
         if headers.get('x-expect-instance') != self.name:
             writer.write(
-                _rejection('421 Misdirected Request', request.attempt_id)
+                _rejection(
+                    '421 Misdirected Request',
+                    request.attempt_id,
+                    *self._notice_lines(),
+                )
+            )
+            return True
+        if self.retry_after is not None:
+            writer.write(
+                _rejection(
+                    '503 Busy', request.attempt_id, *self._notice_lines()
+                )
             )
             return True
         disconnect = asyncio.ensure_future(reader.read(1))
@@ -231,13 +267,29 @@
             status = 409
         if self.drops_order_responses:
             return False
-        body = b'{"free":1}'
-        writer.write(
-            b'HTTP/1.1 %d OK\r\nContent-Type: application/json\r\n'
-            b'Content-Length: %d\r\n\r\n%s' % (status, len(body), body)
-        )
+        writer.write(self._format_json(status, b'{"free":1}'))
         return True
 
+    def _format_json(self, status: int, body: bytes) -> bytes:
+        lines = [
+            f'HTTP/1.1 {status} OK',
+            'Content-Type: application/json',
+            f'Content-Length: {len(body)}',
+            *self._notice_lines(),
+        ]
+        return '\r\n'.join(lines).encode() + _HEAD_END + body
+
+    def _notice_lines(self) -> list[str]:
+        """Returns the headers in which the engine speaks of itself."""
+        lines = []
+        if self.limit_per_s is not None:
+            lines.append(f'Server-Limit: {self.limit_per_s}')
+        if self.is_leaving:
+            lines.append('Server-Leaving: 1')
+        if self.retry_after is not None:
+            lines.append(f'Retry-After: {self.retry_after}')
+        return lines
+
     def _send_report(self, writer: asyncio.StreamWriter) -> bool:
         now_s = time.monotonic()
         body = orjson.dumps(
@@ -256,10 +308,7 @@
                 ]
             }
         )
-        writer.write(
-            b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
-            b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
-        )
+        writer.write(self._format_json(200, body))
         return True
 
     async def _respond(
@@ -295,6 +344,7 @@
             return False
         if self.events and fault is not engine_faults.Fault.PLAIN_RESPONSE:
             return await self._send_stream(request, fault, writer, disconnect)
+        await asyncio.sleep(self.answer_delay_s)
         return self._send_plain(request, fault, writer)
 
     def _format_head(
@@ -318,8 +368,7 @@
         if fault is engine_faults.Fault.ENCODED:
             lines.append('Content-Encoding: gzip')
         lines.append('X-Engine-Load: 1,0,8')
-        if self.limit_per_s is not None:
-            lines.append(f'Server-Limit: {self.limit_per_s}')
+        lines += self._notice_lines()
         return '\r\n'.join(lines).encode() + _HEAD_END
 
     async def _send_without_end(
@@ -436,9 +485,16 @@
         return is_chunked
 
 
-def _rejection(status: str, attempt_id: str) -> bytes:
-    """Returns a response that says that a request was not executed."""
+def _rejection(status: str, attempt_id: str, *extra: str) -> bytes:
+    """Returns a response that says that a request was not executed.
+
+    Args:
+        status: The status code and its text.
+        attempt_id: The id that the response repeats; empty for none.
+        extra: Further header lines.
+    """
     lines = [f'HTTP/1.1 {status}', 'X-Not-Executed: 1', 'Content-Length: 0']
+    lines += extra
     if attempt_id:
         lines.append(f'X-Attempt-Id: {attempt_id}')
     return '\r\n'.join(lines).encode() + _HEAD_END
--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -26,6 +26,7 @@
 from ..configuration import mirror as mirror_module
 from ..engines import workload as workload_module
 from . import fleet_messages
+from ..limits import availability as availability_module
 from ..limits import endpoint_rates
 from ..limits import group_memory as group_memory_module
 from ..limits import named_limits as named_limits_module
@@ -94,6 +95,7 @@
         revisions: revisions_module.Revisions,
         quarantine: quarantine_module.Quarantine,
         named_limits: named_limits_module.NamedLimits,
+        availability: availability_module.Availability,
     ) -> None:
         self.is_leaving = False
         self._fleet = fleet
@@ -107,6 +109,7 @@
         self._revisions = revisions
         self._quarantine = quarantine
         self._named_limits = named_limits
+        self._availability = availability
         self._report_number = 0
         self._last_number_by_process: dict[tuple[ids.VmId, int], int] = {}
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
@@ -249,6 +252,7 @@
         self._named_limits.merge(
             map(fleet_messages.limit_from_message, message.limits)
         )
+        self._availability.merge(map(ids.EndpointRun, message.leaving_runs))
 
     def _apply_zone_loads(
         self, hub: fleet_module.Member, reply: fleet_pb2.LoadReply
@@ -312,6 +316,9 @@
                 fleet_messages.limit_message,
                 self._named_limits.reports_after(progress.sent_revision),
             ),
+            leaving_runs=self._availability.reports_after(
+                progress.sent_revision
+            ),
             seen_revision=progress.seen_revision,
             seen_incarnation=progress.incarnation,
         )
@@ -382,6 +389,7 @@
                 fleet_messages.limit_message,
                 self._named_limits.reports_after(seen_revision),
             ),
+            leaving_runs=self._availability.reports_after(seen_revision),
             revision=self._revisions.newest,
         )
 
--- a/packages/galenaquay/galenaquay/adapters/fleet_messages.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_messages.py
@@ -150,7 +150,7 @@
         ids.PromptPartId(message.part_id),
         tuple(
             quarantine.ReportedEnd(
-                quarantine.EngineRun(end.engine_run),
+                ids.EndpointRun(end.engine_run),
                 end.sent_age_ms / _MS_PER_S,
                 end.ended_age_ms / _MS_PER_S,
             )
--- a/packages/galenaquay/galenaquay/engines/directory.py
+++ b/packages/galenaquay/galenaquay/engines/directory.py
@@ -1,4 +1,4 @@
-"""Keeps the listed endpoints and selects those that may receive requests."""
+"""Keeps the endpoints that the platform lists."""
 
 from collections.abc import Callable, Iterable
 import dataclasses
@@ -43,6 +43,11 @@
     # When the instance started, in Unix milliseconds; 0 if not reported.
     started_at_ms: int = 0
 
+    @property
+    def run(self) -> ids.EndpointRun:
+        """Distinguishes this run from others under the same id."""
+        return ids.EndpointRun(f'{self.id}@{self.started_at_ms}')
+
 
 class Directory:
     """The endpoints that the platform lists."""
@@ -98,8 +103,8 @@
             LOG.info('withdrawn zones', extra={'withdrawn': sorted(withdrawn)})
         self.withdrawn_zones = withdrawn
 
-    def usable(self, service: ids.ServiceName) -> list[Endpoint]:
-        """Returns the endpoints of a service that may receive requests.
+    def listed(self, service: ids.ServiceName) -> list[Endpoint]:
+        """Returns the endpoints of a service, whatever their state.
 
         If no endpoint of the service is listed, these are the endpoints that
         were removed from the list within the last UNLISTED_GRACE_S seconds.
@@ -109,12 +114,10 @@
             for endpoint in self.endpoints_by_id.values()
             if endpoint.service == service
         ]
-        usable = [e for e in listed if self._is_usable(e)]
-        if usable or listed:
-            return usable
-        return self._recently_removed(service)
+        return listed or self._recently_removed(service)
 
-    def _is_usable(self, endpoint: Endpoint) -> bool:
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint is ready and its zone in service."""
         return (
             endpoint.state is EndpointState.READY
             and endpoint.zone not in self.withdrawn_zones
@@ -132,7 +135,7 @@
         return [
             endpoint
             for endpoint, _ in self._removed_by_id.values()
-            if endpoint.service == service and self._is_usable(endpoint)
+            if endpoint.service == service
         ]
 
     def is_cold(self, endpoint: Endpoint) -> bool:
--- a/packages/galenaquay/galenaquay/ids.py
+++ b/packages/galenaquay/galenaquay/ids.py
@@ -9,6 +9,8 @@
 AccountId = NewType('AccountId', str)
 RouteName = NewType('RouteName', str)
 RequestId = NewType('RequestId', str)
+# One run of an endpoint, from its start to its end.
+EndpointRun = NewType('EndpointRun', str)
 GrantId = NewType('GrantId', str)
 # Random number that a process draws at its start; distinguishes the processes
 # that have run on the same VM.
--- a/packages/galenaquay/galenaquay/limits/quarantine.py
+++ b/packages/galenaquay/galenaquay/limits/quarantine.py
@@ -21,7 +21,7 @@
 import dataclasses
 import logging
 import time
-from typing import Final, NewType
+from typing import Final
 
 from .. import ids
 from ..engines import directory
@@ -49,20 +49,12 @@
 # Interval between removals of outdated records, in seconds.
 EXPIRY_INTERVAL_S: Final = 1.0
 
-# Identifies one run of an engine, from its start to its end.
-EngineRun = NewType('EngineRun', str)
-
-
-def run_of(endpoint: directory.Endpoint) -> EngineRun:
-    """Returns the run of an engine that an endpoint stands for."""
-    return EngineRun(f'{endpoint.id}@{endpoint.started_at_ms}')
-
 
 @dataclasses.dataclass(frozen=True)
 class ReportedEnd:
     """The end of an engine that had a request with a part."""
 
-    engine_run: EngineRun
+    engine_run: ids.EndpointRun
     # Time since the request was sent and since the engine ended, in seconds.
     sent_age_s: float
     ended_age_s: float
@@ -87,7 +79,7 @@
 
 @dataclasses.dataclass
 class _Part:
-    ends_by_run: dict[EngineRun, _End] = dataclasses.field(
+    ends_by_run: dict[ids.EndpointRun, _End] = dataclasses.field(
         default_factory=dict
     )
     cleared_at_s: float = float('-inf')
@@ -173,7 +165,7 @@
         end = _End(sent_at_s, self._clock())
         is_new = False
         for part_id in part_ids:
-            is_new |= self._add_end(part_id, run_of(endpoint), end)
+            is_new |= self._add_end(part_id, endpoint.run, end)
         if is_new:
             self._derive_blamed()
             self._report_soon()
@@ -248,7 +240,7 @@
         return is_changed
 
     def _add_end(
-        self, part_id: ids.PromptPartId, run: EngineRun, end: _End
+        self, part_id: ids.PromptPartId, run: ids.EndpointRun, end: _End
     ) -> bool:
         """Adds an end; returns whether it is new and was not cleared."""
         part = self._parts_by_id.setdefault(part_id, _Part())
@@ -360,9 +352,9 @@
 
 
 def _without(
-    ends_by_part: dict[ids.PromptPartId, dict[EngineRun, _End]],
-    runs: frozenset[EngineRun],
-) -> dict[ids.PromptPartId, dict[EngineRun, _End]]:
+    ends_by_part: dict[ids.PromptPartId, dict[ids.EndpointRun, _End]],
+    runs: frozenset[ids.EndpointRun],
+) -> dict[ids.PromptPartId, dict[ids.EndpointRun, _End]]:
     """Returns the ends of the other runs, without parts that have none."""
     remaining = {
         part_id: {run: end for run, end in ends.items() if run not in runs}
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -10,6 +10,7 @@
 from ..engines import usual_times as usual_times_module
 from ..engines import workload as workload_module
 from ..limits import attempt_budget
+from ..limits import availability as availability_module
 from ..limits import group_memory
 from ..limits import named_limits as named_limits_module
 from ..limits import quarantine as quarantine_module
@@ -42,3 +43,4 @@
     lifetime: Lifetime
     quarantine: quarantine_module.Quarantine
     named_limits: named_limits_module.NamedLimits
+    availability: availability_module.Availability
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -197,10 +197,6 @@
         response = await self._open_response(helpers)
         try:
             head = response.head
-            if head.load is not None:
-                self._dependencies.workload.record_reported_running(
-                    self._placement.endpoint.id, head.load.running
-                )
             if head.is_success and head.is_stream:
                 await self._relay_events(response, jobs)
             elif self._writer.is_started:
@@ -223,6 +219,7 @@
     async def _open_response(
         self, helpers: tuple[exchange.Helper, ...]
     ) -> exchange.Response:
+        self._check_available()
         endpoint = self._placement.endpoint
         params = exchange.AttemptParams(
             endpoint,
@@ -243,14 +240,53 @@
             raise AttemptFailedError(
                 exchange.SendError(exchange.Failure.TIMED_OUT, 'no answer')
             ) from None
-        limits = self._dependencies.named_limits
         if isinstance(response, exchange.SendError):
-            if response.limit_per_s is not None:
-                limits.record_answer(endpoint.id, response.limit_per_s)
+            if response.notice is not None:
+                self._record_notice(response.notice, is_rejection=True)
             raise AttemptFailedError(response)
-        limits.record_answer(endpoint.id, response.head.limit_per_s)
+        self._record_notice(response.head.notice, is_rejection=False)
         return response
 
+    def _check_available(self) -> None:
+        """Checks that the endpoints still take requests.
+
+        They were available when they were chosen, but memory may have been
+        reserved since.
+
+        Raises:
+            AttemptFailedError: An endpoint has become unavailable.
+        """
+        for endpoint in (self._placement.endpoint, *self._placement.helpers):
+            if not self._dependencies.availability.is_available(endpoint):
+                raise AttemptFailedError(
+                    exchange.SendError(
+                        exchange.Failure.NOT_SENT,
+                        'no longer available',
+                        endpoint.id,
+                    )
+                )
+
+    def _record_notice(
+        self, notice: exchange.Notice, *, is_rejection: bool
+    ) -> None:
+        """Records what the endpoint says of itself in its answer.
+
+        Args:
+            notice: What the endpoint says.
+            is_rejection: Whether the endpoint did not run the request. A
+                rejection that names no limit does not end an earlier one.
+        """
+        endpoint = self._placement.endpoint
+        self._dependencies.availability.record_answer(endpoint, notice)
+        if notice.limit_per_s is not None or not is_rejection:
+            self._dependencies.named_limits.record_answer(
+                endpoint.id, notice.limit_per_s
+            )
+        if notice.load is not None and not is_rejection:
+            self._dependencies.workload.record_reported_running(
+                endpoint.id, notice.load.running
+            )
+
     def _has_more_attempts(self) -> bool:
         # During a shutdown there may be no time for another attempt.
         return (
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -178,7 +178,10 @@
                 faulty_endpoint = helper
                 self._excluded.add(helper.id)
         is_rejected = error.failure is exchange.Failure.REJECTED
-        if self._forwarded.error_response is None:
+        # An endpoint that asks for time is left out meanwhile, and no worse
+        # than others afterwards.
+        asks_for_time = error.notice is not None and error.notice.wait_s > 0
+        if self._forwarded.error_response is None and not asks_for_time:
             self._dependencies.reliability.record_failure(
                 faulty_endpoint.id, REJECTION_WEIGHT if is_rejected else 1.0
             )
@@ -290,7 +293,12 @@
             self._log_end('failed', status=status, reason=reason)
             return
         if retry_after_s is None:
-            retry_after_s = refusals.draw_retry_after_s(self._dependencies.rng)
+            retry_after_s = refusals.draw_retry_after_s(
+                self._dependencies.rng,
+                self._dependencies.availability.wait_s(
+                    self._admitted.service.name
+                ),
+            )
         await self._writer.refuse(503, reason, retry_after_s)
         self._log_end('refused', status=503, reason=reason)
 
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -101,20 +101,6 @@
         )
 
 
-@dataclasses.dataclass(frozen=True)
-class SendError:
-    """The cause of a failed attempt."""
-
-    failure: Failure
-    detail: str
-    # Id or address of the endpoint that caused the failure, if known; empty if
-    # the endpoint that received the request caused the failure.
-    culprit: str = ''
-    # Requests per second that the endpoint takes from all VMs together, if
-    # its response names such a limit.
-    limit_per_s: float | None = None
-
-
 @dataclasses.dataclass(frozen=True)
 class LoadHint:
     """The load that an endpoint reports in the headers of a response."""
@@ -126,6 +112,34 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Notice:
+    """What an endpoint says of itself in the headers of a response."""
+
+    load: LoadHint | None = None
+    # Requests per second that the endpoint takes from all VMs together; None
+    # if it names no limit.
+    limit_per_s: float | None = None
+    # Whether the endpoint shuts down and wants no new requests.
+    is_leaving: bool = False
+    # Time for which the endpoint wants no requests from this VM, in seconds;
+    # 0 if it does not ask for any.
+    wait_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class SendError:
+    """The cause of a failed attempt."""
+
+    failure: Failure
+    detail: str
+    # Id or address of the endpoint that caused the failure, if known; empty if
+    # the endpoint that received the request caused the failure.
+    culprit: str = ''
+    # What the endpoint says of itself; None if there was no valid response.
+    notice: Notice | None = None
+
+
 @dataclasses.dataclass(frozen=True)
 class Head:
     """Status and headers of an endpoint's response."""
@@ -135,13 +149,10 @@
     headers: Headers
     # Whether the body is a stream of server-sent events.
     is_stream: bool
-    load: LoadHint | None = None
+    notice: Notice = Notice()
     # Whether the end of the body is marked, by a length or by chunks. Any
     # other body ends with its connection.
     is_framed: bool = True
-    # Requests per second that the endpoint takes from all VMs together; None
-    # if it names no limit.
-    limit_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -19,6 +19,7 @@
 from ..engines import directory as directory_module
 from ..engines import reliability as reliability_module
 from ..engines import workload as workload_module
+from ..limits import availability as availability_module
 from ..limits import endpoint_rates
 from ..ports import exchange
 from . import short_set
@@ -166,6 +167,7 @@
     def __init__(
         self,
         directory: directory_module.Directory,
+        availability: availability_module.Availability,
         workload: workload_module.Workload,
         reliability: reliability_module.Reliability,
         rates: endpoint_rates.EndpointRates,
@@ -173,6 +175,7 @@
         rng: random.Random,
     ) -> None:
         self._directory = directory
+        self._availability = availability
         self._workload = workload
         self._reliability = reliability
         self._rates = rates
@@ -184,7 +187,7 @@
         service: routes.Service,
         excluded: frozenset[ids.EndpointId],
     ) -> list[directory_module.Endpoint]:
-        usable = self._directory.usable(service.name)
+        usable = self._availability.available(service.name)
         kept = [e for e in usable if e.id not in excluded]
         return [
             e
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -9,6 +9,7 @@
 from galenaquay_platform import headers
 from galenaquay_platform import orders
 from galenaquay_platform import serve
+from tests.properties import availability_properties
 from tests.properties import document_properties
 from tests.properties import fleet_properties
 from tests.properties import memory_properties
@@ -17,6 +18,7 @@
 from tests.properties import sharing_properties
 
 PROPERTY_MODULES = (
+    availability_properties,
     document_properties,
     fleet_properties,
     memory_properties,
@@ -61,6 +63,7 @@
     'routing/placement',
     'routing/step_times',
     'limits/attempt_budget',
+    'limits/availability',
     'limits/endpoint_rates',
     'limits/group_memory',
     'limits/named_limits',
@@ -100,7 +103,8 @@
     names = {
         value
         for value in vars(headers).values()
-        if isinstance(value, str) and value.startswith(('X-', 'At-'))
+        if isinstance(value, str)
+        and value.startswith(('X-', 'At-', 'Server-'))
     }
     names |= {documents.CONFIG_KEY, documents.WITHDRAWN_PREFIX}
     names |= {orders.ORDER_PATH, serve.READY_PATH, 'kv-range', 'kv-watch'}
--- a/tests/properties/fleet_properties.py
+++ b/tests/properties/fleet_properties.py
@@ -9,6 +9,7 @@
 from galenaquay.engines import directory as directory_module
 from galenaquay.engines import workload as workload_module
 from galenaquay import ids
+from galenaquay.limits import availability
 from galenaquay.limits import endpoint_rates
 from galenaquay.limits import group_memory
 from galenaquay.limits import named_limits
@@ -33,10 +34,13 @@
         self.fleet = fleet_module.Fleet(self.me, ['h:0', 'h:1'], clock)
         self.workload = workload_module.Workload(clock)
         engines = memory_properties.LossyEngines(None, [])
-        directory = directory_module.Directory(clock)
+        self.directory = directory_module.Directory(clock)
         copy = mirror_module.Mirror(clock=clock)
         self.revisions = revisions.Revisions()
         self.quarantine = quarantine.Quarantine(self.revisions, clock=clock)
+        self.availability = availability.Availability(
+            self.directory, self.revisions, clock=clock
+        )
         self.named_limits = named_limits.NamedLimits(
             self.revisions, clock=clock
         )
@@ -57,11 +61,12 @@
             ),
             group_memory.GroupMemory(engines),
             orphaned_memory.OrphanedMemory(
-                self.me.vm_id, engines, directory, clock
+                self.me.vm_id, engines, self.directory, clock
             ),
             self.revisions,
             self.quarantine,
             self.named_limits,
+            self.availability,
         )
 
     def report_to(self, receiver, now_s):
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -9,6 +9,7 @@
 from galenaquay.engines import workload as workload_module
 from galenaquay import ids
 from galenaquay.limits import attempt_budget
+from galenaquay.limits import availability
 from galenaquay.limits import endpoint_rates
 from galenaquay.limits import named_limits
 from galenaquay.membership import fleet as fleet_module
@@ -208,6 +209,7 @@
     workload.replace_peer_loads(ids.VmId('other'), loads or {}, 2.0)
     placer = placement.Placer(
         directory,
+        availability.Availability(directory, clock=lambda: now_s),
         workload,
         reliability.Reliability(lambda: now_s),
         make_rates(1, lambda: now_s)[0],
--- a/tests/properties/sharing_properties.py
+++ b/tests/properties/sharing_properties.py
@@ -1,7 +1,10 @@
 """Properties of what VMs tell each other as changes, in simulated time."""
 
+import dataclasses
+
 from galenaquay import ids
 from galenaquay.limits import quarantine
+from galenaquay.ports import exchange
 
 from tests.properties import fleet_properties
 from tests.properties import quarantine_properties
@@ -57,6 +60,7 @@
                 report = vm.reports.own_report(progress)
                 assert not report.prompt_parts
                 assert not report.limits
+                assert not report.leaving_runs
 
 
 def check_quarantine_spreads():
@@ -99,6 +103,24 @@
     assert all(vm.named_limits.per_s(ENDPOINT) is None for vm in fleet.vms)
 
 
+def check_shutdowns_spread():
+    """A shutdown that one VM heard of binds sixty, new ones too."""
+    fleet = SharingFleet()
+    engine = quarantine_properties.make_engine(0)
+    fleet.vms[7].availability.record_answer(
+        engine, exchange.Notice(is_leaving=True)
+    )
+    fleet.run_rounds(3)
+    assert not any(vm.availability.is_available(engine) for vm in fleet.vms)
+    fleet.check_quiet()
+    fleet.start_vm(60)
+    fleet.start_vm(7)
+    fleet.run_rounds(3)
+    assert not any(vm.availability.is_available(engine) for vm in fleet.vms)
+    again = dataclasses.replace(engine, started_at_ms=1)
+    assert all(vm.availability.is_available(again) for vm in fleet.vms)
+
+
 def check_equal_ids():
     """A part and an endpoint with the same id are shared independently."""
     fleet = SharingFleet()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,7 +35,10 @@
 
 
 def pick_engine(world, rng):
-    return world.proxies_by_engine[rng.choice(sorted(world.engines_by_name))]
+    """Returns the proxy of an engine whose connections a fault affects."""
+    name = rng.choice(sorted(world.engines_by_name))
+    world.engine_fault_times_s[name].append(time.monotonic())
+    return world.proxies_by_engine[name]
 
 
 @contextlib.contextmanager
@@ -84,6 +87,28 @@
     engine.faults = [rng.choice(kinds) for _ in range(rng.randint(1, 4))]
 
 
+@fault
+async def shut_down_engine(world, rng, duration_s):
+    """Has an engine say that it shuts down, and start again later.
+
+    The platform lists it as ready until then.
+    """
+    name = rng.choice(sorted(world.engines_by_name))
+    engine = world.engines_by_name[name]
+    engine.is_leaving = True
+    await asyncio.sleep(duration_s)
+    engine.restart()
+    world.store.put(f'servers/{name}', engine.store_entry())
+
+
+@fault
+async def turn_requests_away(world, rng, duration_s):
+    engine = world.engines_by_name[rng.choice(sorted(world.engines_by_name))]
+    engine.retry_after = f'{rng.uniform(0.5, 4.0):.2f}'
+    await asyncio.sleep(duration_s)
+    engine.retry_after = None
+
+
 @fault
 async def lose_orders(world, rng, duration_s):
     engine = world.engines_by_name[rng.choice(sorted(world.engines_by_name))]
@@ -173,6 +198,7 @@
     vm = rng.choice(free) if free else None
     if vm is not None:
         world.vms_under_fault.add(vm)
+        world.process_fault_times_s[vm].append(time.monotonic())
         world.record_fault(vm)
     try:
         yield vm
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -71,6 +71,12 @@
             world.revoked_at_s,
             support.REVOKE_S,
         )
+        promises.check_notices(
+            sent,
+            world.engines_by_name.values(),
+            world.process_fault_times_s,
+            world.engine_fault_times_s,
+        )
         promises.check_new_keys(
             sent, world.published_at_s, world.revoked_at_s, APPLY_S
         )
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,6 +7,15 @@
 
 # Statuses that tell the client that the request did not run.
 REFUSAL_STATUSES = (408, 421, 429, 503)
+# Time after an engine's first answer that it shuts down from which a VM sends
+# it no requests, in seconds.
+SHUTDOWN_BOUND_S = 2.0
+# Time after an engine has asked for time from which requests to it count, in
+# seconds, and the largest number of them.
+WAIT_SLACK_S = 0.5
+MAX_REQUESTS_MEANWHILE = 2
+# Longest time that a fault lasts, with the recovery, in seconds.
+FAULT_LASTS_S = 4.0
 
 
 @dataclasses.dataclass
@@ -135,6 +144,92 @@
                     )
 
 
+def check_notices(sent, engines, process_faults_s, engine_faults_s):
+    """Checks that requests keep away from engines that say so.
+
+    Args:
+        sent: the requests of all clients.
+        engines: the engines and services that recorded their requests.
+        process_faults_s: times of faults of each VM's process, by VM.
+        engine_faults_s: times of faults of the connections to each engine, by
+            its name.
+    """
+    sent_by_id = {request.id: request for request in sent}
+    for engine in engines:
+        received_by_run = collections.defaultdict(list)
+        for received in engine.received:
+            request = sent_by_id.get(received.attempt_id)
+            if request is not None:
+                run = (received.run_started_at_ms, request.vm)
+                received_by_run[run].append((received, request))
+        for (_, vm), pairs in received_by_run.items():
+            check_shutdown(engine.name, pairs, process_faults_s[vm])
+            check_waits(
+                engine.name,
+                pairs,
+                [*process_faults_s[vm], *engine_faults_s[engine.name]],
+            )
+
+
+def has_fault(faults_s, from_s, until_s):
+    """Returns whether a fault was in progress between two times."""
+    return any(from_s - FAULT_LASTS_S < s < until_s for s in faults_s)
+
+
+def check_shutdown(name, pairs, process_faults_s):
+    """Checks what a VM sends after it has passed on a farewell.
+
+    Args:
+        name: the engine.
+        pairs: the requests that one run of it received from one VM, with
+            those of the clients.
+        process_faults_s: times of faults of the VM's process.
+    """
+    passed_on_at_s = min(
+        (
+            request.ended_at_s
+            for received, request in pairs
+            if received.says_leaving
+            and request.answer is not None
+            and request.answer.headers.get('server-leaving')
+        ),
+        default=float('inf'),
+    )
+    for received, request in pairs:
+        if request.sent_at_s > passed_on_at_s + SHUTDOWN_BOUND_S and (
+            not has_fault(
+                process_faults_s, passed_on_at_s, received.received_at_s
+            )
+        ):
+            late_s = request.sent_at_s - passed_on_at_s
+            raise PromiseError(
+                f'{request.id} reached {name} from vm-{request.vm}, sent '
+                f'{late_s:.2f} s after its answer that it shuts down'
+            )
+
+
+def check_waits(name, pairs, faults_s):
+    """Checks what a VM sends while an engine wants no requests from it."""
+    for turned_away, request in pairs:
+        if turned_away.retry_after is None:
+            continue
+        at_s = turned_away.received_at_s
+        until_s = at_s + float(turned_away.retry_after)
+        meanwhile = [
+            received
+            for received, _ in pairs
+            if at_s + WAIT_SLACK_S < received.received_at_s < until_s
+        ]
+        if len(meanwhile) > MAX_REQUESTS_MEANWHILE and not has_fault(
+            faults_s, at_s, until_s
+        ):
+            raise PromiseError(
+                f'{name} turned away {request.id} from vm-{request.vm} for '
+                f'{turned_away.retry_after} s and got {len(meanwhile)} '
+                'requests from it meanwhile'
+            )
+
+
 def check_run_count(request, runs):
     """Checks how often a request ran.
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,5 +1,6 @@
 """Fleet of VM processes, engines and a store, connected by proxies."""
 
+import collections
 import signal
 import time
 
@@ -33,6 +34,10 @@
         self.vms_under_fault = set()
         # Number of faults so far that affected each VM.
         self.fault_counts_by_vm = dict.fromkeys(range(VMS), 0)
+        # Times at which faults that affect the process of each VM began.
+        self.process_fault_times_s = {vm: [] for vm in range(VMS)}
+        # Times at which faults of the connections to each engine began.
+        self.engine_fault_times_s = collections.defaultdict(list)
         self.key = support.KEY
         self.revoked_at_s = {}
         # Time at which each key was published, by key.
