Survive odd entries among the endpoints

Cause: an entry whose state is nested 1,000 levels raised RecursionError while its error was written; the task that follows the documents ended for good, so that the VM served from an old list and, without confirmation, refused keys. An id outside ASCII gave callers 500 (17 of 20 requests). Properties failing_listener, lasting_tasks.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import logging
 import math
 from typing import Any, Final
@@ -124,13 +125,15 @@
         finally:
             for task in self._tasks_by_address.values():
                 task.cancel()
+            self._tasks_by_address.clear()
 
     def _update_tasks(self) -> None:
         addresses = self._fleet.addresses()
         for address in addresses:
             if address not in self._tasks_by_address:
-                self._tasks_by_address[address] = tasks.start(
-                    self._send_reports(address), f'reports to {address}'
+                self._tasks_by_address[address] = tasks.start_lasting(
+                    functools.partial(self._send_reports, address),
+                    f'reports to {address}',
                 )
         for address in list(self._tasks_by_address):
             if address not in addresses:
--- a/packages/galenaquay/galenaquay/configuration/mirror.py
+++ b/packages/galenaquay/galenaquay/configuration/mirror.py
@@ -9,10 +9,12 @@
 from collections.abc import Callable, Iterable
 import contextlib
 import dataclasses
+import logging
 from typing import Final, Protocol
 
 from .. import clocks
 
+LOG: Final = logging.getLogger(__name__)
 # Number of latest removals that are kept for VMs that follow this copy. A VM
 # that may have missed an earlier removal receives all documents.
 MAX_REMOVALS: Final = 500
@@ -161,10 +163,24 @@
             self.newest_revision = max(self.newest_revision, change.revision)
             if change.document is None and not was_known:
                 continue
-            for listener in self._listeners:
-                listener.apply_change(change)
+            self._notify(change)
         self._advance(revision)
 
+    def _notify(self, change: Change) -> None:
+        """Has the listeners interpret a change.
+
+        A document that a listener fails on is kept, and does not keep those
+        after it from being applied.
+        """
+        for listener in self._listeners:
+            try:
+                listener.apply_change(change)
+            except Exception:
+                LOG.exception(
+                    'document not applied',
+                    extra={'key': change.key, 'revision': change.revision},
+                )
+
     def _known_revision(self, key: str) -> int:
         """Returns the revision of the last known change of a document."""
         document = self.documents_by_key.get(key)
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -29,6 +29,13 @@
       | sound_parts_stay_free | Parts of sound prompts while engines crash by themselves  |
       | indistinguishable_parts | Parts that were in the same prompts whenever an engine ended |
       | quarantine_spreads   | Ends of engines that few of sixty VMs have seen            |
+      | failing_listener     | A document that cannot be interpreted                      |
+      | lasting_tasks        | A background task that fails                               |
+      | shutdowns_spread     | A shutdown that one of sixty VMs was told of               |
+      | random_histories     | Endpoints that shut down, ask for time and start again     |
+      | forgetting           | Shutdowns of endpoints that are or are not listed          |
+      | bounded_records      | More shutdowns than a VM keeps records of                  |
+      | wait_of_service      | Endpoints of a service that all ask for time               |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -276,6 +276,37 @@
     Then "/look/x" is still served
     And "/nowhere/x" gets 404
 
+  Scenario Outline: One odd endpoint record stops neither requests nor later changes
+    When the service "ledger" gets an endpoint record with <oddity>
+    Then 20 requests to "/look/x" are served
+    When one service is marked as draining
+    Then the draining service gets none of 10 requests to "/look/x"
+    And the entry process has logged no failed task
+
+    Examples:
+      | oddity                        |
+      | an array nested 100000 levels |
+      | a state nested 900 levels     |
+      | a state nested 1000 levels    |
+      | a service nested 900 levels   |
+      | an address nested 900 levels  |
+      | slots of 1e400                |
+      | slots of 400 digits           |
+      | negative slots                |
+      | a cold start of 1e308 ms      |
+      | a cold start of 400 digits    |
+      | a start time of 400 digits    |
+      | a start time of 1e400         |
+      | port 65536                    |
+      | port -1                       |
+      | port 0                        |
+      | port 1e9                      |
+      | a host name                   |
+      | an id outside ASCII           |
+      | an id with a line break       |
+      | an id of 150 spaces           |
+      | numbers for all texts         |
+
   Scenario: Draining endpoints and withdrawn zones receive no requests
     When one service is marked as draining
     Then only the other service receives requests
--- a/tests/features/steps/platform_store_steps.py
+++ b/tests/features/steps/platform_store_steps.py
@@ -67,6 +67,88 @@
     store.put('servers/odd4', {'address': 7})
 
 
+def nested(levels):
+    return b'[' * levels + b']' * levels
+
+
+ODD_FIELDS = {
+    'a state nested 900 levels': {'state': nested(900)},
+    'a state nested 1000 levels': {'state': nested(1000)},
+    'a service nested 900 levels': {'service': nested(900)},
+    'an address nested 900 levels': {'address': nested(900)},
+    'slots of 1e400': {'slots': b'1e400'},
+    'slots of 400 digits': {'slots': b'9' * 400},
+    'negative slots': {'slots': b'-8'},
+    'a cold start of 1e308 ms': {'coldRemainingMs': b'1e308'},
+    'a cold start of 400 digits': {'coldRemainingMs': b'9' * 400},
+    'a start time of 400 digits': {'born': b'9' * 400},
+    'a start time of 1e400': {'born': b'1e400'},
+    'port 65536': {'address': b'"127.0.0.1:65536"'},
+    'port -1': {'address': b'"127.0.0.1:-1"'},
+    'port 0': {'address': b'"127.0.0.1:0"'},
+    'port 1e9': {'address': b'"127.0.0.1:1000000000"'},
+    'a host name': {'address': b'"nowhere.example:80"'},
+    'numbers for all texts': {
+        'service': b'1',
+        'address': b'2',
+        'zone': b'3',
+        'state': b'4',
+    },
+}
+ODD_IDS = {
+    'an id outside ASCII': 'engine-\N{SNOWMAN}',
+    'an id with a line break': 'engine\r\nX-Tenant: other',
+    'an id of 150 spaces': ' ' * 150,
+}
+
+
+@when('the service "{service}" gets an endpoint record with {oddity}')
+def step_odd_record(context, service, oddity):
+    fixture = platform_asking.fixture(context)
+    sound = fixture.engines_by_name['s0'].store_entry()
+    assert sound['service'] == service
+    fields = {
+        name: json.dumps(value).encode() for name, value in sound.items()
+    }
+    fields.update(ODD_FIELDS.get(oddity, {}))
+    value = b'{%s}' % b','.join(
+        b'"%s":%s' % (name.encode(), text) for name, text in fields.items()
+    )
+    if oddity == 'an array nested 100000 levels':
+        value = nested(100_000)
+    fixture.store.put(f'servers/{ODD_IDS.get(oddity, "odd")}', value)
+    platform_asking.run(context, asyncio.sleep(0.2))
+
+
+@then('{count:d} requests to "{target}" are served')
+def step_all_served(context, count, target):
+    statuses = [
+        platform_asking.get_status(context, support.KEY, target)
+        for _ in range(count)
+    ]
+    assert set(statuses) == {200}, statuses
+
+
+@then('the draining service gets none of {count:d} requests to "{target}"')
+def step_draining_gets_none(context, count, target):
+    draining = platform_asking.fixture(context).engines_by_name['s0']
+    before = len(draining.received)
+    step_all_served(context, count, target)
+    assert len(draining.received) == before
+
+
+@then('the entry process has logged no failed task')
+def step_no_failed_task(context):
+    log = platform_asking.fixture(context).log()
+    failed = [
+        line
+        for line in log.splitlines()
+        if 'failed' in line and '"attempt failed"' not in line
+    ]
+    assert not failed, failed[:3]
+    assert platform_asking.fixture(context).processes[0].returncode is None
+
+
 @then('"{target}" is still served')
 def step_served(context, target):
     for _ in range(4):
--- a/tests/properties/document_properties.py
+++ b/tests/properties/document_properties.py
@@ -1,10 +1,14 @@
 """Properties of copied documents and of what a VM trusts."""
 
+import asyncio
+from unittest import mock
+
 from galenaquay.configuration import current as current_module
 from galenaquay.configuration import freshness as freshness_module
 from galenaquay.configuration import mirror as mirror_module
 from galenaquay.configuration import routes
 from galenaquay import ids
+from galenaquay import tasks
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -174,3 +178,46 @@
     assert subscriber.revision_by_key == {
         k: d.revision for k, d in platform_documents.items()
     }
+
+
+class FailingListener(RecordingSubscriber):
+    """Listener that fails on one document."""
+
+    def apply_change(self, change):
+        if change.key == 'odd':
+            raise RecursionError('too deep')
+        super().apply_change(change)
+
+
+def check_failing_listener():
+    """A document that a listener fails on keeps no other from it."""
+    listener = FailingListener()
+    copy = mirror_module.Mirror([listener])
+    documents = [
+        mirror_module.Document(key, b'{}', number)
+        for number, key in enumerate(('a', 'odd', 'b'), 1)
+    ]
+    copy.replace_all(documents, 3)
+    later = mirror_module.Document('c', b'{}', 4)
+    copy.apply([mirror_module.Change('c', 4, later)], 4)
+    assert set(listener.revision_by_key) == {'a', 'b', 'c'}
+    assert copy.revision == 4
+
+
+def check_lasting_tasks():
+    """A task that fails starts again, and one that ends does not."""
+    runs = []
+
+    async def run():
+        runs.append(len(runs))
+        if len(runs) < 3:
+            raise RuntimeError('unexpected')
+
+    async def check():
+        with mock.patch.object(tasks, 'RESTART_PAUSE_S', 0.0):
+            await tasks.start_lasting(run, 'failing')
+
+    loop = asyncio.new_event_loop()
+    loop.run_until_complete(check())
+    loop.close()
+    assert runs == [0, 1, 2]
