Answer all requests in a planned stop

Cause: requests that came later than 3 s after SIGTERM were passed on while another request kept the process; a silent endpoint held them until they were cut without an answer. So were requests from before that no endpoint answered. Ruled out: the estimate of a request's time alone, which an endpoint may miss. Change: from 3 s after SIGTERM on, new requests get 503 and are not passed on. Before the grace ends, open requests end as if their deadline had passed: 504, or a begun answer is broken off.

--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -1,5 +1,8 @@
 """The objects that the forwarding of all requests shares."""
 
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
 import dataclasses
 import math
 import random
@@ -18,12 +21,39 @@
 from ..routing import placement as placement_module
 
 
-@dataclasses.dataclass
 class Lifetime:
-    """The time at which this process stops serving requests."""
+    """Until when this process accepts and serves requests."""
 
-    # On the event loop's clock; infinite until a shutdown begins.
-    ends_at_s: float = math.inf
+    # Both on the event loop's clock; infinite until a shutdown begins.
+    accepts_until_s: float
+    ends_at_s: float
+
+    def __init__(self) -> None:
+        self.accepts_until_s = math.inf
+        self.ends_at_s = math.inf
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    @contextlib.asynccontextmanager
+    async def request(self, deadline_s: float) -> AsyncIterator[None]:
+        """Ends the context with TimeoutError at a deadline.
+
+        It ends earlier if `end_requests` is called.
+
+        Args:
+            deadline_s: The deadline, on the event loop's clock.
+        """
+        async with asyncio.timeout_at(deadline_s) as timeout:
+            self._timeouts.add(timeout)
+            try:
+                yield
+            finally:
+                self._timeouts.discard(timeout)
+
+    def end_requests(self) -> None:
+        """Ends all requests now, as if their deadlines had passed."""
+        now_s = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            timeout.reschedule(now_s)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -1,5 +1,6 @@
 """Admits callers' HTTP requests and forwards them to endpoints."""
 
+import asyncio
 import logging
 from typing import Final
 
@@ -25,7 +26,7 @@
         self, request: exchange.Request, writer: exchange.ResponseWriter
     ) -> None:
         """Serves one request and sends the response to the caller."""
-        decision = self._admission.decide(request)
+        decision = self._decide(request)
         if isinstance(decision, admission.Refusal):
             await self._refuse(request, writer, decision)
             return
@@ -34,6 +35,14 @@
             self._dependencies, decision, writer
         ).run()
 
+    def _decide(
+        self, request: exchange.Request
+    ) -> admission.AdmittedRequest | admission.Refusal:
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self._dependencies.lifetime.accepts_until_s:
+            return admission.Refusal(503, 'this VM shuts down')
+        return self._admission.decide(request)
+
     async def _refuse(
         self,
         request: exchange.Request,
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -69,7 +69,9 @@
     async def run(self) -> None:
         """Makes attempts until the caller has a response or an error."""
         try:
-            async with asyncio.timeout_at(self._admitted.deadline_s):
+            async with self._dependencies.lifetime.request(
+                self._admitted.deadline_s
+            ):
                 while not await self._attempt():
                     pass
         except TimeoutError:
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -380,6 +380,34 @@
     Then the caller receives the complete stream
     And the engines executed 1 requests
 
+  Scenario: A request that comes late in a shutdown is refused and not passed on
+    Given each engine sends 5 events, one every 1.1 seconds
+    And the services never respond
+    When the entry process gets SIGTERM while it relays a stream
+    And 3.5 seconds pass
+    Then a request to "/once/x" gets 503 at once
+    And the services executed 0 requests
+    And the caller receives the complete stream
+
+  Scenario Outline: A request that no endpoint answers has an answer at the end of a shutdown
+    Given each engine sends 5 events, one every 1.1 seconds
+    When the entry process gets SIGTERM while it relays a stream
+    And the engines never respond
+    Then a request to "<target>" that arrives 1 second later gets 504
+    And the entry process exits with status 0
+
+    Examples:
+      | target  |
+      | /ask/x  |
+      | /tell/x |
+
+  Scenario: Callers that keep their connections open lose no request in a shutdown
+    Given two more entry processes that know all engines
+    When 30 callers send one request after the other on open connections
+    And the entry process gets SIGTERM
+    Then each request is answered or reached no endpoint
+    And the entry process exits with status 0
+
   Scenario: SIGHUP during the start is harmless
     When an entry process gets SIGHUP repeatedly during its start
     Then the entry process becomes ready within 5 seconds of the last SIGHUP
--- a/tests/features/steps/platform_life_steps.py
+++ b/tests/features/steps/platform_life_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 import logging
 import os
 import pathlib
@@ -13,6 +14,7 @@
 from click import testing
 
 from galenaquay.adapters import logs
+from galenaquay_standins import engine_faults
 from galenaquayctl import traces
 from tests import platform_asking
 from tests import platform_support as support
@@ -123,6 +125,118 @@
     assert platform_asking.run(context, run_step()) == 0
 
 
+@when('{seconds:g} seconds pass')
+def step_pass(context, seconds):
+    platform_asking.run(context, asyncio.sleep(seconds))
+
+
+@given('the services never respond')
+def step_services_silent(context):
+    platform_asking.fixture(context).set_faults(
+        support.SERVICE, *[engine_faults.Fault.NO_RESPONSE] * 10
+    )
+
+
+@when('the engines never respond')
+def step_engines_silent(context):
+    platform_asking.fixture(context).set_faults(
+        support.POOL, *[engine_faults.Fault.NO_RESPONSE] * 10
+    )
+
+
+@then(
+    'a request to "{target}" that arrives {seconds:g} second later gets '
+    '{status:d}'
+)
+def step_late_request(context, target, seconds, status):
+    async def run_step():
+        await asyncio.sleep(seconds)
+        return await support.send_request(
+            platform_asking.fixture(context).front_port(),
+            'POST',
+            target,
+            b'{}',
+            X_Token_Counts='5000,500',
+        )
+
+    response = platform_asking.run(context, run_step())
+    assert response.status == status, response
+    assert response.is_complete
+
+
+async def keep_sending(context, caller):
+    """Sends requests on open connections until the process has ended."""
+    port = platform_asking.fixture(context).front_port()
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        except OSError:
+            return
+        try:
+            while True:
+                target = ('/look/x', '/once/x')[next(caller) % 2]
+                request_id = os.urandom(8).hex()
+                head = (
+                    f'POST {target} HTTP/1.1\r\nHost: {support.HOST}\r\n'
+                    f'Authorization: Bearer {support.KEY}\r\n'
+                    f'X-Attempt-Id: {request_id}\r\n'
+                    'X-Deadline-Ms: 4000\r\nContent-Length: 2\r\n\r\n{}'
+                )
+                context.outcomes_by_id[request_id] = None
+                writer.write(head.encode())
+                response = await support.read_response(reader)
+                if not response.is_complete:
+                    break
+                context.outcomes_by_id[request_id] = response.status
+                if response.headers.get('connection') == 'close':
+                    break
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+
+
+@when('{count:d} callers send one request after the other on open connections')
+def step_callers(context, count):
+    context.outcomes_by_id = {}
+    for engine in platform_asking.fixture(context).engines_by_name.values():
+        engine.answer_delay_s = 0.05
+
+    async def run_step():
+        context.callers = [
+            asyncio.ensure_future(keep_sending(context, itertools.count(i)))
+            for i in range(count)
+        ]
+        await asyncio.sleep(1.0)
+
+    platform_asking.run(context, run_step())
+
+
+@when('the entry process gets SIGTERM')
+def step_sigterm(context):
+    platform_asking.fixture(context).processes[0].send_signal(signal.SIGTERM)
+
+
+@then('each request is answered or reached no endpoint')
+def step_no_request_lost(context):
+    async def run_step():
+        async with asyncio.timeout(support.GRACE_S + 1):
+            await asyncio.gather(*context.callers)
+
+    platform_asking.run(context, run_step())
+    outcomes = context.outcomes_by_id
+    assert len(outcomes) > 200, len(outcomes)
+    received = {
+        request.attempt_id
+        for request in platform_asking.fixture(context).received_requests(
+            support.SERVICE
+        )
+    }
+    lost = [i for i, status in outcomes.items() if status is None]
+    assert not received.intersection(lost), received.intersection(lost)
+    assert set(outcomes.values()) <= {200, 503, None}, outcomes.values()
+
+
 @when('an entry process gets SIGHUP repeatedly during its start')
 def step_reload_early(context):
     async def run_step():
