Let hubs sum up once and choose them by size

Cause: on the large site a hub summed all loads of the fleet anew for each of 117 replies a second, 5.7 ms each, and listed all 195 members in 3 of 8 of them; it was as likely a VM of 0.516 cores and 10 Mbit/s as a large one. Change: members name a capacity (processor and link of the settings), and the hubs and the reader of a zone's documents are those with the most. A hub sums up once in 0.1 s and again only at the asker's endpoints. Replies list the members when digests differ, at most each 0.5 s, and else each 2.5 s. A VM that is no hub asks one hub of its zone for loads, and the other when that one has not replied for 0.5 s. Views of the members are kept until the set changes. Ruled out: differences of loads since the last reply; most change within it. Properties hubs_by_capacity, messages_of_large_fleet, silent_hub, cached_replies; zone_sums still holds.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -36,6 +36,7 @@
 from ..membership import fleet as fleet_module
 from ..membership import hedging
 from ..membership import revisions as revisions_module
+from . import reply_loads
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for the reply to a report, in seconds.
@@ -54,11 +55,14 @@
 MESH_REPORTS_PER_S: Final = 40.0
 # Interval between reports to one hub, in seconds.
 HUB_INTERVAL_S: Final = 0.33
-# Of every MEMBER_LIST_PERIOD report numbers in a row, a hub lists the members
-# in its replies to the first MEMBER_LIST_RUN. A VM numbers its reports to all
-# hubs in one sequence, so each hub receives only some of the numbers.
-MEMBER_LIST_PERIOD: Final = 8
-MEMBER_LIST_RUN: Final = 3
+# Shortest time between two lists of the members in a hub's replies to one VM
+# that knows other members, and longest time if it knows the same, in seconds.
+# The lists also tell that members are alive.
+MEMBER_LIST_MIN_INTERVAL_S: Final = 0.5
+MEMBER_LIST_MAX_INTERVAL_S: Final = 2.5
+# A VM asks the other hub of its zone for the loads if the preferred one has
+# not replied for this time, in seconds.
+HUB_SILENCE_S: Final = 0.5
 # Delay before the next report to an address that did not reply, in seconds.
 RETRY_INTERVAL_S: Final = 0.5
 # Interval between updates of the set of addresses, in seconds.
@@ -78,6 +82,8 @@
     # up to which the report under way contains them.
     sent_revision: int = 0
     pending_revision: int = 0
+    # Whether the report under way asks for a reply without loads.
+    has_omitted_loads: bool = False
 
 
 class FleetReports:
@@ -114,6 +120,11 @@
         self._report_number = 0
         self._last_number_by_process: dict[tuple[ids.VmId, int], int] = {}
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
+        self._reply_loads = reply_loads.ReplyLoads(workload, workload.now_s)
+        # When each VM has last replied, by its address, and when a reply has
+        # last listed the members to it.
+        self._replied_at_s: dict[str, float] = {}
+        self._listed_at_s: dict[ids.VmId, float] = {}
 
     async def run(self) -> None:
         """Runs one reporting task for each address of the fleet."""
@@ -153,7 +164,7 @@
             while True:
                 changes = self._workload.changes
                 urgent = self._workload.urgent_changes
-                if not await self._send_report(channel, progress):
+                if not await self._send_report(channel, address, progress):
                     # A channel whose peer stopped responding may never
                     # recover, so the next report takes a new channel.
                     channel.close()
@@ -185,13 +196,13 @@
                 await self._workload.wait_for_change(changes)
 
     async def _send_report(
-        self, channel: grpclib.client.Channel, progress: Progress
+        self, channel: grpclib.client.Channel, address: str, progress: Progress
     ) -> bool:
         asked_at_s = self._documents.now_s()
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 reply = await fleet_grpc.FleetStub(channel).Report(
-                    self.own_report(progress)
+                    self.own_report(progress, address)
                 )
         except (
             OSError,
@@ -221,7 +232,9 @@
         """
         sender = fleet_messages.member_from_message(reply.sender)
         self._fleet.record_contact(sender)
+        self._replied_at_s[sender.address] = self._workload.now_s()
         self._apply_changes(reply)
+        has_omitted_loads = progress.has_omitted_loads
         is_same_process = progress.incarnation == sender.incarnation
         # A process that has started since the last reply knows nothing of what
         # the earlier process was told.
@@ -230,7 +243,7 @@
         )
         progress.incarnation = sender.incarnation
         progress.seen_revision = reply.revision
-        if not self._fleet.is_mesh():
+        if not self._fleet.is_mesh() and not has_omitted_loads:
             self._apply_zone_loads(sender, reply)
         self._fleet.merge_gossip(
             map(fleet_messages.gossip_entry_from_message, reply.members)
@@ -274,29 +287,50 @@
         return EXPIRY_INTERVALS * max(IDLE_INTERVAL_S, self._interval_s())
 
     def _loads_for(
-        self, member: fleet_module.Member
-    ) -> dict[ids.EndpointId, workload_module.EndpointLoad]:
+        self, member: fleet_module.Member, report: fleet_pb2.LoadReport
+    ) -> list[fleet_pb2.EndpointLoad]:
         """Returns the loads that a reply contains; none in a full mesh.
 
         Args:
             member: The member that receives the reply.
+            report: The report of the member.
         """
-        if self._fleet.is_mesh():
-            return {}
-        excluded = {member.vm_id, _zone_key(self._fleet.me.zone)}
+        if self._fleet.is_mesh() or report.omit_loads:
+            return []
+        excluded = {_zone_key(self._fleet.me.zone)}
         if member.zone != self._fleet.me.zone:
             # Hubs of other zones receive only the loads of this zone.
             excluded.update(map(_zone_key, self._fleet.zones()))
-        return self._workload.loads_excluding(excluded)
+        return self._reply_loads.messages_for(
+            member.vm_id, frozenset(excluded)
+        )
+
+    def _omits_loads(self, address: str) -> bool:
+        """Returns whether the reply of a hub need not contain the loads.
+
+        A VM that is no hub gets the loads from one hub of its zone, as long as
+        that hub replies.
+        """
+        if self._fleet.is_mesh() or self._fleet.is_hub():
+            return False
+        preferred = self._fleet.preferred_hub().address
+        silent_s = self._workload.now_s() - self._replied_at_s.get(
+            preferred, float('-inf')
+        )
+        return address != preferred and silent_s < HUB_SILENCE_S
 
-    def own_report(self, progress: Progress) -> fleet_pb2.LoadReport:
+    def own_report(
+        self, progress: Progress, address: str
+    ) -> fleet_pb2.LoadReport:
         """Returns the next load report of this VM to another one.
 
         Args:
             progress: The progress with the other VM; updated.
+            address: The address of the other VM.
         """
         self._report_number += 1
         progress.pending_revision = self._revisions.newest
+        progress.has_omitted_loads = self._omits_loads(address)
         return fleet_pb2.LoadReport(
             sender=fleet_messages.member_message(self._fleet.me),
             number=self._report_number,
@@ -324,6 +358,8 @@
             ),
             seen_revision=progress.seen_revision,
             seen_incarnation=progress.incarnation,
+            members_digest=self._fleet.members_digest(),
+            omit_loads=progress.has_omitted_loads,
         )
 
     def handle_report(
@@ -373,12 +409,9 @@
             sender=fleet_messages.member_message(self._fleet.me),
             members=map(
                 fleet_messages.gossip_entry_message,
-                self._listed_members(report.number),
+                self._listed_members(sender, report.members_digest),
             ),
-            loads=[
-                fleet_messages.load_message(endpoint_id, load)
-                for endpoint_id, load in self._loads_for(sender).items()
-            ],
+            loads=self._loads_for(sender, report),
             config_version=table.version if table is not None else 0,
             confirmed_age_ms_plus_one=(
                 0 if age_s is None else math.ceil(age_s * _MS_PER_S) + 1
@@ -396,18 +429,24 @@
             revision=self._revisions.newest,
         )
 
-    def _listed_members(self, number: int) -> list[fleet_module.GossipEntry]:
-        """Returns the members that the reply to a report lists.
+    def _listed_members(
+        self, receiver: fleet_module.Member, known_digest: int
+    ) -> list[fleet_module.GossipEntry]:
+        """Returns the members that a reply lists.
 
         Args:
-            number: The number of the report.
+            receiver: The member that receives the reply.
+            known_digest: The digest of the members that it knows.
         """
-        if (
-            self._fleet.is_mesh()
-            or number % MEMBER_LIST_PERIOD < MEMBER_LIST_RUN
-        ):
-            return self._fleet.gossip_entries()
-        return []
+        now_s = self._workload.now_s()
+        listed_at_s = self._listed_at_s.get(receiver.vm_id, float('-inf'))
+        interval_s = MEMBER_LIST_MIN_INTERVAL_S
+        if known_digest == self._fleet.members_digest():
+            interval_s = MEMBER_LIST_MAX_INTERVAL_S
+        if not self._fleet.is_mesh() and now_s - listed_at_s < interval_s:
+            return []
+        self._listed_at_s[receiver.vm_id] = now_s
+        return self._fleet.gossip_entries()
 
 
 class FleetServer(fleet_grpc.FleetBase):
--- a/packages/galenaquay/galenaquay/adapters/fleet_messages.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_messages.py
@@ -44,6 +44,7 @@
         ids.Incarnation(message.incarnation),
         message.address,
         ids.ZoneName(message.zone),
+        message.capacity,
     )
 
 
@@ -54,6 +55,7 @@
         incarnation=member.incarnation,
         address=member.address,
         zone=member.zone,
+        capacity=member.capacity,
     )
 
 
--- a/packages/galenaquay/galenaquay/engines/workload.py
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Container, Iterable, Mapping
 import dataclasses
 import time
 from typing import Final
@@ -77,15 +77,55 @@
         return sum(group.count for group in self.decoding_groups)
 
 
+@dataclasses.dataclass(frozen=True)
+class PeerLoads:
+    """The loads that a peer has reported; never changed afterwards."""
+
+    heard_at_s: float
+    # Time for which the loads are counted, in seconds.
+    valid_s: float
+    by_id: Mapping[ids.EndpointId, EndpointLoad]
+
+
+class _LoadSum:
+    """Adds up the loads of one endpoint."""
+
+    def __init__(self) -> None:
+        self._running = 0
+        self._prefill_s = 0.0
+        self._memory_tokens = 0
+        self._groups: list[DecodingGroup] = []
+        self._helper_parts = 0
+        self._prefill_urgency = 0.0
+
+    def add(self, load: EndpointLoad, age_s: float) -> None:
+        """Adds a load that was known some time ago."""
+        self._running += load.running
+        self._prefill_s += max(0.0, load.prefill_s - age_s)
+        self._memory_tokens += load.memory_tokens
+        self._groups += load.decoding_groups
+        self._helper_parts += load.helper_parts
+        self._prefill_urgency += load.prefill_urgency
+
+    def total(self) -> EndpointLoad:
+        """Returns the sum."""
+        return EndpointLoad(
+            self._running,
+            self._prefill_s,
+            self._memory_tokens,
+            merge_decoding_groups(self._groups),
+            self._helper_parts,
+            self._prefill_urgency,
+        )
+
+
 class Workload:
     """The known requests at all endpoints."""
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._jobs_by_endpoint: dict[ids.EndpointId, list[Job]] = {}
-        self._loads_by_peer: dict[
-            ids.VmId, tuple[float, float, dict[ids.EndpointId, EndpointLoad]]
-        ] = {}
+        self._loads_by_peer: dict[ids.VmId, PeerLoads] = {}
         self._reported_running: dict[ids.EndpointId, tuple[float, int]] = {}
         # When each endpoint last finished the prefill of a job of this VM.
         self._prefilled_at_s: dict[ids.EndpointId, float] = {}
@@ -161,7 +201,7 @@
     def replace_peer_loads(
         self,
         peer: ids.VmId,
-        loads: dict[ids.EndpointId, EndpointLoad],
+        loads: Mapping[ids.EndpointId, EndpointLoad],
         valid_s: float,
     ) -> None:
         """Replaces the loads that a peer reported earlier.
@@ -171,7 +211,7 @@
             loads: The peer's loads by endpoint.
             valid_s: Time for which the loads are counted, in seconds.
         """
-        self._loads_by_peer[peer] = (self._clock(), valid_s, loads)
+        self._loads_by_peer[peer] = PeerLoads(self._clock(), valid_s, loads)
 
     def own_loads(self) -> dict[ids.EndpointId, EndpointLoad]:
         """Returns the load that this VM's own jobs cause, by endpoint."""
@@ -183,24 +223,50 @@
             for endpoint_id, jobs in self._jobs_by_endpoint.items()
         }
 
+    def peer_loads(self, peer: ids.VmId) -> PeerLoads | None:
+        """Returns what a peer has reported last; None if it has not."""
+        return self._loads_by_peer.get(peer)
+
+    def all_peer_loads(self) -> dict[ids.VmId, PeerLoads]:
+        """Returns what each peer has reported last."""
+        return dict(self._loads_by_peer)
+
     def loads_excluding(
-        self, excluded_peers: Container[ids.VmId]
+        self,
+        excluded_peers: Container[ids.VmId],
+        endpoint_ids: Iterable[ids.EndpointId] | None = None,
     ) -> dict[ids.EndpointId, EndpointLoad]:
-        """Returns the load from all jobs except those of the given peers."""
+        """Returns the load from all jobs except those of the given peers.
+
+        Args:
+            excluded_peers: The peers whose jobs are left out.
+            endpoint_ids: The endpoints to sum up; None sums up all. Endpoints
+                without a job are left out of the result.
+        """
         now_s = self._clock()
-        merged = self.own_loads()
-        for peer, (heard_at_s, valid_s, loads) in self._loads_by_peer.items():
-            age_s = now_s - heard_at_s
-            if age_s > valid_s or peer in excluded_peers:
-                continue
-            for endpoint_id, load in loads.items():
-                merged[endpoint_id] = merge(
-                    merged.get(endpoint_id, EndpointLoad()),
-                    dataclasses.replace(
-                        load, prefill_s=max(0.0, load.prefill_s - age_s)
-                    ),
-                )
-        return merged
+        wanted = None if endpoint_ids is None else list(endpoint_ids)
+        sums_by_id: dict[ids.EndpointId, _LoadSum] = {}
+        reports: list[tuple[float, Mapping[ids.EndpointId, EndpointLoad]]]
+        reports = [(0.0, self.own_loads())]
+        reports += [
+            (now_s - peer_loads.heard_at_s, peer_loads.by_id)
+            for peer, peer_loads in self._loads_by_peer.items()
+            if peer not in excluded_peers
+            and now_s - peer_loads.heard_at_s <= peer_loads.valid_s
+        ]
+        for age_s, loads in reports:
+            for endpoint_id in loads if wanted is None else wanted:
+                load = loads.get(endpoint_id)
+                if load is None:
+                    continue
+                load_sum = sums_by_id.get(endpoint_id)
+                if load_sum is None:
+                    load_sum = sums_by_id[endpoint_id] = _LoadSum()
+                load_sum.add(load, age_s)
+        return {
+            endpoint_id: load_sum.total()
+            for endpoint_id, load_sum in sums_by_id.items()
+        }
 
     def loads(self) -> dict[ids.EndpointId, EndpointLoad]:
         """Returns the load from the jobs of all VMs, by endpoint."""
@@ -218,22 +284,13 @@
         return merged
 
 
-def merge(left: EndpointLoad, right: EndpointLoad) -> EndpointLoad:
-    """Adds two loads of one endpoint."""
-    return EndpointLoad(
-        left.running + right.running,
-        left.prefill_s + right.prefill_s,
-        left.memory_tokens + right.memory_tokens,
-        merge_decoding_groups([*left.decoding_groups, *right.decoding_groups]),
-        left.helper_parts + right.helper_parts,
-        left.prefill_urgency + right.prefill_urgency,
-    )
-
-
 def merge_decoding_groups(
     groups: Iterable[DecodingGroup],
 ) -> tuple[DecodingGroup, ...]:
     """Merges groups with the same longest accepted pause."""
+    groups = tuple(groups)
+    if len(groups) < 2:
+        return groups
     counts: dict[float, int] = {}
     values: dict[float, float] = {}
     for group in groups:
--- a/packages/galenaquay/galenaquay/membership/following.py
+++ b/packages/galenaquay/galenaquay/membership/following.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import random
 from typing import Final
@@ -104,12 +105,8 @@
     def _higher_members(self) -> list[fleet_module.Member]:
         """Returns the members of the zone that rank higher than this VM."""
         me = self._fleet.me
-        members_by_id = {m.vm_id: m for m in self._fleet.zone_peers()}
-        order = ranks.rank_vms(
-            ranks.watch_role(me.zone), [*members_by_id, me.vm_id]
-        )
-        rank = order.index(me.vm_id)
-        return [members_by_id[vm_id] for vm_id in order[:rank]]
+        order = self._fleet.rank_zone(ranks.watch_role(me.zone), me.zone)
+        return list(itertools.takewhile(lambda member: member != me, order))
 
     def _may_be_asked(self, member: fleet_module.Member) -> bool:
         key = (member.vm_id, member.incarnation)
--- a/packages/galenaquay/galenaquay/membership/ranks.py
+++ b/packages/galenaquay/galenaquay/membership/ranks.py
@@ -36,6 +36,11 @@
     return sorted(zones, key=lambda zone: (_hash(role, zone), zone))
 
 
+def digest(texts: Iterable[str]) -> int:
+    """Returns a digest of a set of texts, of 64 bits."""
+    return xxhash.xxh64_intdigest('\n'.join(sorted(texts)).encode())
+
+
 def _hash(role: str, name: str) -> int:
     return xxhash.xxh64_intdigest(f'{role}|{name}'.encode())
 
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -29,6 +29,10 @@
       | sound_parts_stay_free | Parts of sound prompts while engines crash by themselves  |
       | indistinguishable_parts | Parts that were in the same prompts whenever an engine ended |
       | quarantine_spreads   | Ends of engines that few of sixty VMs have seen            |
+      | hubs_by_capacity     | Hubs of 195 VMs of two sizes                               |
+      | messages_of_large_fleet | Messages of 39 and of 195 VMs before 150 engines        |
+      | silent_hub           | A hub that falls silent                                    |
+      | cached_replies       | Loads in the replies of a hub                              |
       | failing_listener     | A document that cannot be interpreted                      |
       | lasting_tasks        | A background task that fails                               |
       | shutdowns_spread     | A shutdown that one of sixty VMs was told of               |
--- a/tests/properties/fleet_properties.py
+++ b/tests/properties/fleet_properties.py
@@ -27,9 +27,13 @@
 class ReportingVm:
     """VM that reports its loads to other VMs without a network."""
 
-    def __init__(self, number, zone, clock):
+    def __init__(self, number, zone, clock, capacity=0):
         self.me = fleet_module.Member(
-            ids.VmId(f'vm-{number:02}'), number + 1, f'h:{number}', zone
+            ids.VmId(f'vm-{number:02}'),
+            number + 1,
+            f'h:{number}',
+            zone,
+            capacity,
         )
         self.fleet = fleet_module.Fleet(self.me, ['h:0', 'h:1'], clock)
         self.workload = workload_module.Workload(clock)
@@ -72,10 +76,10 @@
     def report_to(self, receiver, now_s):
         """Sends one report to another VM and handles its reply."""
         progress = self.progress_by_address[receiver.me.address]
-        reply = receiver.reports.handle_report(
-            self.reports.own_report(progress)
-        )
+        report = self.reports.own_report(progress, receiver.me.address)
+        reply = receiver.reports.handle_report(report)
         self.reports.handle_reply(reply, now_s, progress)
+        return report, reply
 
 
 def check_zone_sums():
@@ -132,6 +136,146 @@
         assert found == expected, (vm.me.vm_id, found, expected)
 
 
+class LargeFleet:
+    """VMs of five zones, three large ones in each, and their reports."""
+
+    def __init__(self, vms, engines):
+        self.now_s = 100.0
+        self.vms = [
+            ReportingVm(
+                number,
+                f'zone-{number % 5}',
+                lambda: self.now_s,
+                capacity=20 if number % 13 == 0 else 4,
+            )
+            for number in range(vms)
+        ]
+        self.vm_by_address = {vm.me.address: vm for vm in self.vms}
+        self.rng = random.Random(vms)
+        self.engines = engines
+
+    def add_jobs(self):
+        """Adds a job to each engine."""
+        for number in range(self.engines):
+            self.rng.choice(self.vms).workload.add(
+                ids.EndpointId(f'i-{number:010x}'),
+                workload_module.Job(0.02, 5000, 0.25, 1.5, 0.3, self.now_s),
+            )
+
+    def run_rounds(self, rounds):
+        """Has all VMs report; returns the exchanged messages by receiver."""
+        messages_by_receiver = collections.defaultdict(list)
+        for _ in range(rounds):
+            for vm in self.vms:
+                for address in vm.fleet.addresses():
+                    receiver = self.vm_by_address.get(address)
+                    if receiver not in (None, vm):
+                        pair = vm.report_to(receiver, self.now_s)
+                        messages_by_receiver[address].append((vm, pair))
+            self.now_s += fleet_grpc.HUB_INTERVAL_S
+        return messages_by_receiver
+
+
+def size_of(pair):
+    return sum(message.ByteSize() for message in pair)
+
+
+def check_hubs_by_capacity():
+    """The VMs that can do most collect the reports of their zone."""
+    fleet = LargeFleet(195, 150)
+    fleet.run_rounds(15)
+    for vm in fleet.vms:
+        for zone in vm.fleet.zones():
+            hubs = vm.fleet.hubs(zone)
+            assert [hub.capacity for hub in hubs] == [20, 20], hubs
+        assert vm.fleet.vm_count() == 195
+    # Both hubs of a zone share the work.
+    counts = collections.Counter(
+        vm.fleet.preferred_hub().vm_id
+        for vm in fleet.vms
+        if vm.me.zone == 'zone-0'
+    )
+    assert min(counts.values()) >= 10, counts
+
+
+def check_messages_of_large_fleet():
+    """What a VM exchanges grows with the engines, not with the VMs."""
+    bytes_per_s = {}
+    for vms in (39, 195):
+        fleet = LargeFleet(vms, 150)
+        fleet.run_rounds(15)
+        fleet.add_jobs()
+        fleet.run_rounds(3)
+        rounds = 15
+        messages_by_receiver = fleet.run_rounds(rounds)
+        seconds = rounds * fleet_grpc.HUB_INTERVAL_S
+        by_sender = collections.Counter()
+        for messages in messages_by_receiver.values():
+            for vm, pair in messages:
+                if not vm.fleet.is_hub():
+                    by_sender[vm.me.vm_id] += size_of(pair)
+        bytes_per_s[vms] = max(by_sender.values()) / seconds
+        hub_bytes_per_s = max(
+            sum(size_of(pair) for _, pair in messages) / seconds
+            for messages in messages_by_receiver.values()
+        )
+        # A fifth of the links of large VMs.
+        assert hub_bytes_per_s < 100e6 / 8 / 5, hub_bytes_per_s
+    # A tenth of a link of 10 Mbit/s.
+    assert bytes_per_s[195] < 10e6 / 8 / 10, bytes_per_s
+    assert bytes_per_s[195] < 1.5 * bytes_per_s[39], bytes_per_s
+
+
+def check_silent_hub():
+    """A VM gets the loads from the other hub when one falls silent."""
+    fleet = LargeFleet(60, 30)
+    fleet.run_rounds(15)
+    fleet.add_jobs()
+    fleet.run_rounds(4)
+    vm = next(vm for vm in fleet.vms if not vm.fleet.is_hub())
+    assert len(vm.workload.loads()) == 30
+    del fleet.vm_by_address[vm.fleet.preferred_hub().address]
+    for _ in range(12):
+        fleet.run_rounds(1)
+        assert len(vm.workload.loads()) >= 30 - len(
+            [v for v in fleet.vms if v.workload.own_loads()]
+        )
+        assert vm.workload.loads(), fleet.now_s
+
+
+def check_cached_replies():
+    """A hub's reply contains the loads of all others, and never one's own."""
+    fleet = LargeFleet(60, 30)
+    fleet.run_rounds(15)
+    zone = fleet.vms[0].me.zone
+    asker = next(
+        vm for vm in fleet.vms if vm.me.zone == zone and not vm.fleet.is_hub()
+    )
+    hub = fleet.vm_by_address[asker.fleet.preferred_hub().address]
+    others = [
+        vm for vm in fleet.vms if vm.me.zone == zone and vm not in (asker, hub)
+    ]
+    jobs = [
+        workload_module.Job(0.0, 10, 0.25, 1.0, 0.3, 0.0) for _ in range(3)
+    ]
+    first, second = ids.EndpointId('first'), ids.EndpointId('second')
+    asker.workload.add(first, jobs[0])
+    others[0].workload.add(first, jobs[1])
+    others[0].workload.add(second, jobs[2])
+    others[0].report_to(hub, fleet.now_s)
+    for other in others:
+        other.report_to(hub, fleet.now_s)
+    # The hub's sums contain the asker's job while it is sent and has ended.
+    asker.report_to(hub, fleet.now_s)
+    others[1].report_to(hub, fleet.now_s)
+    for expected in ({first: 2, second: 1}, {first: 1, second: 1}):
+        asker.report_to(hub, fleet.now_s)
+        found = {k: v.running for k, v in asker.workload.loads().items()}
+        assert found == expected, found
+        if expected[first] == 2:
+            asker.workload.remove(first, jobs[0])
+
+
 def check_leaving_stays_gone():
     """A VM that has left stays removed although gossip still names the VM."""
     me = fleet_module.Member('vm-0', 1, 'h:0', 'ba')
--- a/tests/properties/sharing_properties.py
+++ b/tests/properties/sharing_properties.py
@@ -57,7 +57,7 @@
         for vm in self.vms:
             for receiver in self.contacts(vm):
                 progress = vm.progress_by_address[receiver.me.address]
-                report = vm.reports.own_report(progress)
+                report = vm.reports.own_report(progress, receiver.me.address)
                 assert not report.prompt_parts
                 assert not report.limits
                 assert not report.leaving_runs
