Split the raw responses off the stand-in

Change: rejection, chunk and reset move to raw_responses.py; Availability gets a function that removes ended waits.

--- /dev/null
+++ b/packages/galenaquay-standins/galenaquay_standins/raw_responses.py
@@ -0,0 +1,51 @@
+"""Raw bytes that the stand-in of the users' engines writes."""
+
+import asyncio
+import socket
+import struct
+from typing import Final
+
+from . import engine_faults
+
+HEAD_END: Final = b'\r\n\r\n'
+
+
+def rejection(status: str, attempt_id: str, *extra: str) -> bytes:
+    """Returns a response that says that a request was not executed.
+
+    Args:
+        status: The status code and its text.
+        attempt_id: The id that the response repeats; empty for none.
+        extra: Further header lines.
+    """
+    lines = [f'HTTP/1.1 {status}', 'X-Not-Executed: 1', 'Content-Length: 0']
+    lines += extra
+    if attempt_id:
+        lines.append(f'X-Attempt-Id: {attempt_id}')
+    return '\r\n'.join(lines).encode() + HEAD_END
+
+
+STALE_RESPONSES: Final = {
+    engine_faults.Fault.STALE_REJECTION: rejection('503 Busy', 'earlier'),
+    engine_faults.Fault.STALE_MISDIRECTION: rejection(
+        '421 Misdirected', 'earlier'
+    ),
+    engine_faults.Fault.ANONYMOUS_REJECTION: rejection('503 Busy', ''),
+}
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns data as one chunk of a chunked body."""
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection with a TCP reset.
+
+    A linger time of 0 makes the kernel send RST instead of FIN.
+    """
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -9,16 +9,14 @@
 from collections.abc import Callable
 import dataclasses
 import itertools
-import socket
-import struct
 import time
 from typing import Any, Final
 
 import orjson
 
 from . import engine_faults
+from . import raw_responses
 
-_HEAD_END: Final = b'\r\n\r\n'
 _NS_PER_MS: Final = 1_000_000
 _BREAKS_BETWEEN_EVENTS: Final = frozenset(
     (
@@ -192,7 +190,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Serves one request; returns whether the connection stays open."""
-        head = await reader.readuntil(_HEAD_END)
+        head = await reader.readuntil(raw_responses.HEAD_END)
         lines = head.decode('latin-1').split('\r\n')
         method, target, _ = lines[0].split(' ', 2)
         headers = dict(
@@ -209,7 +207,9 @@
         request = ReceivedRequest(method, target, headers, b'')
         if fault is engine_faults.Fault.EARLY_RESPONSE:
             self.received.append(request)
-            writer.write(_rejection('503 Busy', request.attempt_id))
+            writer.write(
+                raw_responses.rejection('503 Busy', request.attempt_id)
+            )
             await asyncio.sleep(0.2)
             request.body = await reader.read(1 << 22)
             return False
@@ -226,7 +226,7 @@
         self.received.append(request)
         if headers.get('x-expect-instance') != self.name:
             writer.write(
-                _rejection(
+                raw_responses.rejection(
                     '421 Misdirected Request',
                     request.attempt_id,
                     *self._notice_lines(),
@@ -235,7 +235,7 @@
             return True
         if self.retry_after is not None:
             writer.write(
-                _rejection(
+                raw_responses.rejection(
                     '503 Busy', request.attempt_id, *self._notice_lines()
                 )
             )
@@ -277,7 +277,7 @@
             f'Content-Length: {len(body)}',
             *self._notice_lines(),
         ]
-        return '\r\n'.join(lines).encode() + _HEAD_END + body
+        return '\r\n'.join(lines).encode() + raw_responses.HEAD_END + body
 
     def _notice_lines(self) -> list[str]:
         """Returns the headers in which the engine speaks of itself."""
@@ -319,16 +319,18 @@
         disconnect: 'asyncio.Future[bytes]',
     ) -> bool:
         if fault is engine_faults.Fault.REJECT:
-            writer.write(_rejection('503 Busy', request.attempt_id))
+            writer.write(
+                raw_responses.rejection('503 Busy', request.attempt_id)
+            )
             return True
         request.has_run = True
-        if fault in _STALE_RESPONSES:
-            writer.write(_STALE_RESPONSES[fault])
+        if fault in raw_responses.STALE_RESPONSES:
+            writer.write(raw_responses.STALE_RESPONSES[fault])
             return True
         if fault is engine_faults.Fault.CLOSE_CONNECTION:
             return False
         if fault is engine_faults.Fault.RESET_CONNECTION:
-            _reset(writer)
+            raw_responses.reset(writer)
             return False
         if fault is engine_faults.Fault.NO_RESPONSE:
             await disconnect
@@ -369,7 +371,7 @@
             lines.append('Content-Encoding: gzip')
         lines.append('X-Engine-Load: 1,0,8')
         lines += self._notice_lines()
-        return '\r\n'.join(lines).encode() + _HEAD_END
+        return '\r\n'.join(lines).encode() + raw_responses.HEAD_END
 
     async def _send_without_end(
         self,
@@ -428,7 +430,9 @@
         if fault is engine_faults.Fault.DUPLICATE_RESPONSE:
             writer.write(response)
         if fault is engine_faults.Fault.NO_LENGTH_RESET:
-            asyncio.get_running_loop().call_later(0.05, _reset, writer)
+            asyncio.get_running_loop().call_later(
+                0.05, raw_responses.reset, writer
+            )
             return True
         return fault is not engine_faults.Fault.NO_LENGTH
 
@@ -466,15 +470,15 @@
                 part = event[: len(event) // 2]
                 if fault in _BREAKS_BETWEEN_EVENTS:
                     part = b''
-                writer.write(_chunk(part) if is_chunked else part)
+                writer.write(raw_responses.chunk(part) if is_chunked else part)
                 await writer.drain()
                 await asyncio.sleep(0.02)
                 if fault is engine_faults.Fault.NO_LENGTH_CRASH:
                     self.end()
                 elif fault is not engine_faults.Fault.NO_LENGTH_PARTIAL_EVENT:
-                    _reset(writer)
+                    raw_responses.reset(writer)
                 return False
-            writer.write(_chunk(event) if is_chunked else event)
+            writer.write(raw_responses.chunk(event) if is_chunked else event)
             await writer.drain()
             await asyncio.sleep(self.event_interval_s)
             if disconnect.done():
@@ -483,43 +487,3 @@
         if is_chunked:
             writer.write(b'0\r\n\r\n')
         return is_chunked
-
-
-def _rejection(status: str, attempt_id: str, *extra: str) -> bytes:
-    """Returns a response that says that a request was not executed.
-
-    Args:
-        status: The status code and its text.
-        attempt_id: The id that the response repeats; empty for none.
-        extra: Further header lines.
-    """
-    lines = [f'HTTP/1.1 {status}', 'X-Not-Executed: 1', 'Content-Length: 0']
-    lines += extra
-    if attempt_id:
-        lines.append(f'X-Attempt-Id: {attempt_id}')
-    return '\r\n'.join(lines).encode() + _HEAD_END
-
-
-_STALE_RESPONSES: Final = {
-    engine_faults.Fault.STALE_REJECTION: _rejection('503 Busy', 'earlier'),
-    engine_faults.Fault.STALE_MISDIRECTION: _rejection(
-        '421 Misdirected', 'earlier'
-    ),
-    engine_faults.Fault.ANONYMOUS_REJECTION: _rejection('503 Busy', ''),
-}
-
-
-def _chunk(data: bytes) -> bytes:
-    return b'%x\r\n%s\r\n' % (len(data), data)
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Closes a connection with a TCP reset.
-
-    A linger time of 0 makes the kernel send RST instead of FIN.
-    """
-    sock = writer.get_extra_info('socket')
-    sock.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-    )
-    writer.transport.abort()
--- a/packages/galenaquay/galenaquay/limits/availability.py
+++ b/packages/galenaquay/galenaquay/limits/availability.py
@@ -102,12 +102,7 @@
 
     def closed_count(self) -> int:
         """Returns the number of endpoints that want no requests for a time."""
-        now_s = self._clock()
-        self._closed_until_s_by_run = {
-            run: until_s
-            for run, until_s in self._closed_until_s_by_run.items()
-            if until_s > now_s
-        }
+        self._remove_ended_waits()
         return len(self._closed_until_s_by_run)
 
     def reports_after(self, revision: int) -> list[ids.EndpointRun]:
@@ -161,7 +156,7 @@
         until_s = self._clock() + wait_s
         if until_s <= self._closed_until_s_by_run.get(endpoint.run, 0.0):
             return
-        self.closed_count()  # Removes those whose time is over.
+        self._remove_ended_waits()
         self._closed_until_s_by_run[endpoint.run] = until_s
         self._metrics.count('endpoint_waits')
         LOG.info(
@@ -169,6 +164,14 @@
             extra={'endpoint': endpoint.id, 'wait_s': round(wait_s, 3)},
         )
 
+    def _remove_ended_waits(self) -> None:
+        now_s = self._clock()
+        self._closed_until_s_by_run = {
+            run: until_s
+            for run, until_s in self._closed_until_s_by_run.items()
+            if until_s > now_s
+        }
+
     def _forget_unlisted(self) -> None:
         now_s = self._clock()
         listed = {
