Refresh loads before a prompt is placed

Change: in a large fleet, a VM asks its hubs for loads before it places a prompt, unless they are younger than 0.03 s, and waits 0.03 s at most. A hub's sums are valid for 0.03 s. Result: property refresh.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -63,6 +63,10 @@
 # A VM asks the other hub of its zone for the loads if the preferred one has
 # not replied for this time, in seconds.
 HUB_SILENCE_S: Final = 0.5
+# Age from which loads are refreshed before a prompt is placed, and longest
+# time that the prompt waits for them, in seconds.
+REFRESH_AGE_S: Final = 0.03
+REFRESH_TIMEOUT_S: Final = 0.03
 # Delay before the next report to an address that did not reply, in seconds.
 RETRY_INTERVAL_S: Final = 0.5
 # Interval between updates of the set of addresses, in seconds.
@@ -125,6 +129,9 @@
         # last listed the members to it.
         self._replied_at_s: dict[str, float] = {}
         self._listed_at_s: dict[ids.VmId, float] = {}
+        # When a hub of this zone has last told the loads of other VMs.
+        self._loads_at_s = float('-inf')
+        self._loads_told = asyncio.Event()
 
     async def run(self) -> None:
         """Runs one reporting task for each address of the fleet."""
@@ -138,6 +145,22 @@
                 task.cancel()
             self._tasks_by_address.clear()
 
+    async def refresh_loads(self) -> None:
+        """Gets the present loads of other VMs from a hub, if it is quick.
+
+        Between its regular replies, a hub has heard of long prompts that were
+        placed meanwhile. In a full mesh the VMs tell each other at once.
+        """
+        if self._fleet.is_mesh() or self._fleet.is_hub():
+            return
+        if self._workload.now_s() - self._loads_at_s < REFRESH_AGE_S:
+            return
+        told = self._loads_told
+        self._workload.note_urgent_change()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REFRESH_TIMEOUT_S):
+                await told.wait()
+
     def _update_tasks(self) -> None:
         addresses = self._fleet.addresses()
         for address in addresses:
@@ -274,8 +297,12 @@
         self, hub: fleet_module.Member, reply: fleet_pb2.LoadReply
     ) -> None:
         # A hub receives the reports of its own zone from the VMs themselves.
-        if hub.zone == self._fleet.me.zone and self._fleet.is_hub():
-            return
+        if hub.zone == self._fleet.me.zone:
+            if self._fleet.is_hub():
+                return
+            self._loads_at_s = self._workload.now_s()
+            self._loads_told.set()
+            self._loads_told = asyncio.Event()
         self._workload.replace_peer_loads(
             _zone_key(hub.zone),
             fleet_messages.loads_from_messages(reply.loads),
--- a/packages/galenaquay/galenaquay/adapters/reply_loads.py
+++ b/packages/galenaquay/galenaquay/adapters/reply_loads.py
@@ -18,7 +18,7 @@
 from . import fleet_messages
 
 # Time for which sums are used, in seconds.
-SUMS_VALID_S: Final = 0.1
+SUMS_VALID_S: Final = 0.03
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -1,7 +1,7 @@
 """The objects that the forwarding of all requests shares."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 import contextlib
 import dataclasses
 import math
@@ -74,3 +74,5 @@
     quarantine: quarantine_module.Quarantine
     named_limits: named_limits_module.NamedLimits
     availability: availability_module.Availability
+    # Gets the present loads of endpoints, or gives up soon.
+    refresh_loads: Callable[[], Awaitable[None]]
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -94,6 +94,8 @@
         if blamed:
             await self._refuse_quarantined(blamed)
             return True
+        if self._admitted.service.engine is not None:
+            await self._dependencies.refresh_loads()
         placement = self._place()
         if placement is None:
             await self._give_up('no endpoint can take it', 502)
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -32,6 +32,7 @@
       | hubs_by_capacity     | Hubs of 195 VMs of two sizes                               |
       | messages_of_large_fleet | Messages of 39 and of 195 VMs before 150 engines        |
       | silent_hub           | A hub that falls silent                                    |
+      | refresh              | Loads that a prompt is placed by                           |
       | cached_replies       | Loads in the replies of a hub                              |
       | failing_listener     | A document that cannot be interpreted                      |
       | lasting_tasks        | A background task that fails                               |
--- a/tests/properties/fleet_properties.py
+++ b/tests/properties/fleet_properties.py
@@ -1,5 +1,6 @@
 """Properties of fleets whose VMs report to each other."""
 
+import asyncio
 import collections
 import random
 
@@ -276,6 +277,49 @@
             asker.workload.remove(first, jobs[0])
 
 
+def check_refresh():
+    """Loads are refreshed before a prompt is placed, within a bound."""
+    loop = asyncio.new_event_loop()
+    try:
+        loop.run_until_complete(refresh_twice(loop))
+    finally:
+        loop.close()
+
+
+async def refresh_twice(loop):
+    fleet = LargeFleet(60, 30)
+    fleet.run_rounds(15)
+    zone = fleet.vms[0].me.zone
+    asker, other = [
+        vm for vm in fleet.vms if vm.me.zone == zone and not vm.fleet.is_hub()
+    ][:2]
+    hub = fleet.vm_by_address[asker.fleet.preferred_hub().address]
+    engine = ids.EndpointId('engine')
+    # Another VM has placed a long prompt, which its hubs hear at once.
+    other.workload.add(
+        engine,
+        workload_module.Job(2.0, 200_000, 1.0, 20.0, 4.0, fleet.now_s),
+    )
+    other.report_to(hub, fleet.now_s)
+    assert engine not in asker.workload.loads()
+    urgent = asker.workload.urgent_changes
+    refresh = asyncio.ensure_future(asker.reports.refresh_loads())
+    await asyncio.sleep(0)
+    assert asker.workload.urgent_changes == urgent + 1
+    asker.report_to(hub, fleet.now_s)
+    await refresh
+    assert engine in asker.workload.loads()
+    # These loads are new enough for the next prompt.
+    await asker.reports.refresh_loads()
+    assert asker.workload.urgent_changes == urgent + 1
+    # A silent hub delays no prompt for longer than the bound.
+    fleet.now_s += 1.0
+    started_s = loop.time()
+    await asker.reports.refresh_loads()
+    took_s = loop.time() - started_s
+    assert took_s < fleet_grpc.REFRESH_TIMEOUT_S + 0.1, took_s
+
+
 def check_leaving_stays_gone():
     """A VM that has left stays removed although gossip still names the VM."""
     me = fleet_module.Member('vm-0', 1, 'h:0', 'ba')
