--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -54,15 +54,15 @@
 # counting reports of urgent changes.
 MESH_REPORTS_PER_S: Final = 40.0
 # Interval between reports to one hub, in seconds.
-HUB_INTERVAL_S: Final = 0.33
+HUB_INTERVAL_S: Final = 0.5
 # Shortest time between two lists of the members in a hub's replies to one VM
 # that knows other members, and longest time if it knows the same, in seconds.
 # The lists also tell that members are alive.
-MEMBER_LIST_MIN_INTERVAL_S: Final = 0.5
+MEMBER_LIST_MIN_INTERVAL_S: Final = 0.4
 MEMBER_LIST_MAX_INTERVAL_S: Final = 2.5
 # A VM asks the other hub of its zone for the loads if the preferred one has
 # not replied for this time, in seconds.
-HUB_SILENCE_S: Final = 0.5
+HUB_SILENCE_S: Final = 0.75
 # Age from which loads are refreshed before a prompt is placed, and longest
 # time that the prompt waits for them, in seconds.
 REFRESH_AGE_S: Final = 0.03
