Use ports of ended scenarios again

Cause: with 50 more scenarios on the platform's stand-ins there were more than the 119 ranges of ports; 18 scenarios ended in the hook that starts them. Change: the ranges are used in turn, again from the first.

--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import pathlib
 import sys
 
@@ -21,9 +22,10 @@
 )
 TIME_SCALE = 10.0
 # First port of each scenario tagged `platform`. These ports are below those of
-# the shared fleet.
+# the shared fleet. There are more scenarios than such ports; by the time that
+# a port is used again, its first scenario has long ended.
 FLEET_PORT = 25000
-PLATFORM_PORTS = iter(range(7000, FLEET_PORT - 150, 150))
+PLATFORM_PORTS = itertools.cycle(range(7000, FLEET_PORT - 150, 150))
 
 
 def before_all(context):
