--- a/packages/galenaquay/galenaquay/limits/group_memory.py
+++ b/packages/galenaquay/galenaquay/limits/group_memory.py
@@ -26,6 +26,9 @@
 LEASE_S: Final = 2.2
 # Time between two renewals of a reservation, in seconds.
 RENEW_INTERVAL_S: Final = 0.7
+# Time after an unanswered renewal until the next one, in seconds. An engine
+# that has ended refuses the connection for each of them at once.
+RENEW_RETRY_S: Final = 0.1
 # Time after which an engine can no longer execute an unanswered order, in
 # seconds.
 LATE_ORDER_S: Final = 13.0
@@ -133,10 +136,11 @@
                 reservation.part.tokens,
                 LEASE_S,
             )
-            # An unanswered renewal is repeated immediately.
-            if outcome is not reservations.Outcome.UNANSWERED:
-                reservation.is_uncertain = was_uncertain
-                await asyncio.sleep(RENEW_INTERVAL_S)
+            if outcome is reservations.Outcome.UNANSWERED:
+                await asyncio.sleep(RENEW_RETRY_S)
+                continue
+            reservation.is_uncertain = was_uncertain
+            await asyncio.sleep(RENEW_INTERVAL_S)
 
     async def _release_and_forget(self, reservation: PartReservation) -> None:
         try:
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -6,6 +6,7 @@
     Examples:
       | name                 | what                                                       |
       | memory               | Memory at engines after lost and late orders               |
+      | ended_engine         | Memory at an engine that has ended                         |
       | memory_of_dead       | Memory reserved by a process that has died                 |
       | events               | Events are complete for any chunking of the stream         |
       | large_events         | Events over the size limit for any chunking of the stream  |
--- a/tests/properties/memory_properties.py
+++ b/tests/properties/memory_properties.py
@@ -212,3 +212,38 @@
             end_s,
             ended_s,
         )
+
+
+class EndedEngines(LossyEngines):
+    """Engines that refuse connections from some time on."""
+
+    def __init__(self, loop, ended_from_s):
+        super().__init__(loop, [])
+        self._ended_from_s = ended_from_s
+        self.order_times_s = []
+
+    async def _execute(self, operation):
+        self.order_times_s.append(self._loop.time())
+        if self._loop.time() < self._ended_from_s:
+            return await super()._execute(operation)
+        await asyncio.sleep(0.001)
+        return reservations.Outcome.UNANSWERED
+
+
+def check_ended_engine():
+    """Renewals at an engine that has ended do not follow one another."""
+    loop = SimulatedTimeLoop()
+    engines = EndedEngines(loop, 1.0)
+    memory = group_memory.GroupMemory(engines)
+    part = group_memory.Part(path_properties.make_engine(0), 1000)
+
+    async def use_memory():
+        async with memory.reserve_all([part]):
+            await asyncio.sleep(5.0)
+
+    loop.run_until_complete(use_memory())
+    per_s = sum(1.0 <= s < 5.0 for s in engines.order_times_s) / 4.0
+    assert per_s <= 10, per_s
+    for task in asyncio.all_tasks(loop):
+        task.cancel()
+    loop.close()
