End all requests also if one ends just then

Cause: found by reading the diff: a request whose deadline passes in the same step in which a stopping process ends all requests raised RuntimeError; the others were cut without an answer, and the process ended with an error. Change: timeouts that have expired are left alone. The run of an endpoint is made up once, not for each question.

--- a/packages/galenaquay/galenaquay/engines/directory.py
+++ b/packages/galenaquay/galenaquay/engines/directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 import dataclasses
 import enum
+import functools
 import logging
 import time
 from typing import Final
@@ -43,7 +44,7 @@
     # When the instance started, in Unix milliseconds; 0 if not reported.
     started_at_ms: int = 0
 
-    @property
+    @functools.cached_property
     def run(self) -> ids.EndpointRun:
         """Distinguishes this run from others under the same id."""
         return ids.EndpointRun(f'{self.id}@{self.started_at_ms}')
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -53,7 +53,8 @@
         """Ends all requests now, as if their deadlines had passed."""
         now_s = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
-            timeout.reschedule(now_s)
+            if not timeout.expired():
+                timeout.reschedule(now_s)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -5,6 +5,7 @@
 
     Examples:
       | name                 | what                                                       |
+      | ends_at_once         | Requests that are open at the end of a shutdown            |
       | memory               | Memory at engines after lost and late orders               |
       | ended_engine         | Memory at an engine that has ended                         |
       | memory_of_dead       | Memory reserved by a process that has died                 |
--- a/tests/properties/path_properties.py
+++ b/tests/properties/path_properties.py
@@ -1,6 +1,9 @@
 """Properties of limits, placement and membership in simulated time."""
 
+import asyncio
 import collections
+import contextlib
+import math
 import random
 
 from galenaquay.configuration import routes
@@ -13,6 +16,7 @@
 from galenaquay.limits import endpoint_rates
 from galenaquay.limits import named_limits
 from galenaquay.membership import fleet as fleet_module
+from galenaquay.outcomes import dependencies
 from galenaquay.ports import exchange
 from galenaquay.routing import placement
 from galenaquay.routing import short_set
@@ -196,6 +200,40 @@
         assert retries * vms <= ratio * requests * vms + slack
 
 
+def check_ends_at_once():
+    """All requests end when they are told to, also one whose time is over."""
+
+    async def check():
+        lifetime = dependencies.Lifetime()
+        loop = asyncio.get_running_loop()
+
+        async def wait(deadline_s):
+            with contextlib.suppress(TimeoutError):
+                async with lifetime.request(deadline_s):
+                    await asyncio.sleep(60.0)
+                return False
+            return True
+
+        deadline_s = loop.time() + 0.01
+        late = asyncio.ensure_future(wait(deadline_s))
+        open_ones = [asyncio.ensure_future(wait(math.inf)) for _ in range(3)]
+        await asyncio.sleep(0)
+        # The deadline of the first passes in the step in which all are ended.
+        loop.call_at(deadline_s, lifetime.end_requests)
+        async with asyncio.timeout(1.0):
+            assert all(await asyncio.gather(late, *open_ones))
+
+    for _ in range(5):
+        loop = asyncio.new_event_loop()
+        errors = []
+        loop.set_exception_handler(
+            lambda _, context, errors=errors: errors.append(context)
+        )
+        loop.run_until_complete(check())
+        loop.close()
+        assert not errors, errors
+
+
 def make_placer(engines, seed, loads=None, zones=('ba',)):
     """Returns a placer, its workload and its directory of engines.
 
