Hold two fleet properties to stated bounds

The bound for a silent hub was 5 of 30 endpoints, so loose that it asked nothing. Change: 30 and 300 VMs with 1.25, which is red and listed; all but the silent hub's own jobs.

--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -32,7 +32,7 @@
       | indistinguishable_parts | Parts that were in the same prompts whenever an engine ended |
       | quarantine_spreads   | Ends of engines that few of sixty VMs have seen            |
       | hubs_by_capacity     | Hubs of 195 VMs of two sizes                               |
-      | messages_of_large_fleet | Messages of 39 and of 195 VMs before 150 engines        |
+      | messages_of_large_fleet | Messages of 30 and of 300 VMs before 150 engines        |
       | silent_hub           | A hub that falls silent                                    |
       | refresh              | Loads that a prompt is placed by                           |
       | cached_replies       | Loads in the replies of a hub                              |
--- a/tests/properties/fleet_properties.py
+++ b/tests/properties/fleet_properties.py
@@ -137,6 +137,10 @@
         assert found == expected, (vm.me.vm_id, found, expected)
 
 
+# Largest growth of what a VM exchanges from 30 to 300 VMs.
+MAX_GROWTH = 1.25
+
+
 class LargeFleet:
     """VMs of five zones, three large ones in each, and their reports."""
 
@@ -202,7 +206,7 @@
 def check_messages_of_large_fleet():
     """What a VM exchanges grows with the engines, not with the VMs."""
     bytes_per_s = {}
-    for vms in (39, 195):
+    for vms in (30, 300):
         fleet = LargeFleet(vms, 150)
         fleet.run_rounds(15)
         fleet.add_jobs()
@@ -223,8 +227,8 @@
         # A fifth of the links of large VMs.
         assert hub_bytes_per_s < 100e6 / 8 / 5, hub_bytes_per_s
     # A tenth of a link of 10 Mbit/s.
-    assert bytes_per_s[195] < 10e6 / 8 / 10, bytes_per_s
-    assert bytes_per_s[195] < 1.5 * bytes_per_s[39], bytes_per_s
+    assert bytes_per_s[300] < 10e6 / 8 / 10, bytes_per_s
+    assert bytes_per_s[300] < MAX_GROWTH * bytes_per_s[30], bytes_per_s
 
 
 def check_silent_hub():
@@ -235,13 +239,12 @@
     fleet.run_rounds(4)
     vm = next(vm for vm in fleet.vms if not vm.fleet.is_hub())
     assert len(vm.workload.loads()) == 30
-    del fleet.vm_by_address[vm.fleet.preferred_hub().address]
+    hub = fleet.vm_by_address.pop(vm.fleet.preferred_hub().address)
+    # Only the jobs of the hub itself may be missing.
+    expected = 30 - len(hub.workload.own_loads())
     for _ in range(12):
         fleet.run_rounds(1)
-        assert len(vm.workload.loads()) >= 30 - len(
-            [v for v in fleet.vms if v.workload.own_loads()]
-        )
-        assert vm.workload.loads(), fleet.now_s
+        assert len(vm.workload.loads()) >= expected, fleet.now_s
 
 
 def check_cached_replies():
