Rank requests by account and route priority

Cause: the priority of a route was parsed and read by nothing, that of an account was not parsed, and engines were never told a class. Change: configuration/priorities.py ranks what a pool's requests may have; the class goes to engines and into the log, and only where a pool has more than one rank. Load reports carry sums of waiting requests by class. Result: four new properties pass; before, no code could be asked for them.

--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -37,6 +37,7 @@
 from ..membership import hedging
 from ..membership import revisions as revisions_module
 from . import reply_loads
+from ..waiting import sums as waiting_sums
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for the reply to a report, in seconds.
@@ -107,6 +108,7 @@
         quarantine: quarantine_module.Quarantine,
         named_limits: named_limits_module.NamedLimits,
         availability: availability_module.Availability,
+        waiting: waiting_sums.WaitingSums,
     ) -> None:
         self.is_leaving = False
         self._fleet = fleet
@@ -121,6 +123,7 @@
         self._quarantine = quarantine
         self._named_limits = named_limits
         self._availability = availability
+        self._waiting = waiting
         self._report_number = 0
         self._last_number_by_process: dict[tuple[ids.VmId, int], int] = {}
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
@@ -303,9 +306,22 @@
             self._loads_at_s = self._workload.now_s()
             self._loads_told.set()
             self._loads_told = asyncio.Event()
+        self._replace_peer(_zone_key(hub.zone), reply)
+
+    def _replace_peer(
+        self,
+        peer: ids.VmId,
+        message: fleet_pb2.LoadReport | fleet_pb2.LoadReply,
+    ) -> None:
+        """Replaces what a peer has reported of its requests."""
         self._workload.replace_peer_loads(
-            _zone_key(hub.zone),
-            fleet_messages.loads_from_messages(reply.loads),
+            peer,
+            fleet_messages.loads_from_messages(message.loads),
+            self._valid_s(),
+        )
+        self._waiting.replace_peer_sums(
+            peer,
+            fleet_messages.waiting_from_messages(message.waiting),
             self._valid_s(),
         )
 
@@ -324,13 +340,31 @@
         """
         if self._fleet.is_mesh() or report.omit_loads:
             return []
+        return self._reply_loads.messages_for(
+            member.vm_id, self._excluded_for(member)
+        )
+
+    def _waiting_for(
+        self, member: fleet_module.Member, report: fleet_pb2.LoadReport
+    ) -> list[fleet_pb2.WaitingSum]:
+        """Returns the waiting requests that a reply contains."""
+        if self._fleet.is_mesh() or report.omit_loads:
+            return []
+        return fleet_messages.waiting_messages(
+            self._waiting.sums_excluding(
+                {member.vm_id, *self._excluded_for(member)}
+            )
+        )
+
+    def _excluded_for(
+        self, member: fleet_module.Member
+    ) -> frozenset[ids.VmId]:
+        """Returns the peers that a reply to a member says nothing of."""
         excluded = {_zone_key(self._fleet.me.zone)}
         if member.zone != self._fleet.me.zone:
             # Hubs of other zones receive only the loads of this zone.
             excluded.update(map(_zone_key, self._fleet.zones()))
-        return self._reply_loads.messages_for(
-            member.vm_id, frozenset(excluded)
-        )
+        return frozenset(excluded)
 
     def _omits_loads(self, address: str) -> bool:
         """Returns whether the reply of a hub need not contain the loads.
@@ -387,6 +421,7 @@
             seen_incarnation=progress.incarnation,
             members_digest=self._fleet.members_digest(),
             omit_loads=progress.has_omitted_loads,
+            waiting=fleet_messages.waiting_messages(self._waiting.own_sums()),
         )
 
     def handle_report(
@@ -409,11 +444,7 @@
             # In a large fleet the loads of other zones come from the replies
             # of their hubs.
             if self._fleet.is_mesh() or sender.zone == self._fleet.me.zone:
-                self._workload.replace_peer_loads(
-                    sender.vm_id,
-                    fleet_messages.loads_from_messages(report.loads),
-                    self._valid_s(),
-                )
+                self._replace_peer(sender.vm_id, report)
             self._orphans.record_report(
                 sender.vm_id,
                 sender.incarnation,
@@ -454,6 +485,7 @@
             ),
             leaving_runs=self._availability.reports_after(seen_revision),
             revision=self._revisions.newest,
+            waiting=self._waiting_for(sender, report),
         )
 
     def _listed_members(
--- a/packages/galenaquay/galenaquay/adapters/fleet_messages.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_messages.py
@@ -13,6 +13,7 @@
 from ..limits import quarantine
 from ..membership import fleet as fleet_module
 from ..ports import reservations
+from ..waiting import sums as sums_module
 
 _MS_PER_S: Final = 1000
 
@@ -182,3 +183,33 @@
         message.per_s if message.HasField('per_s') else None,
         message.age_ms / _MS_PER_S,
     )
+
+
+def waiting_messages(
+    sums_by_key: sums_module.SumsByKey,
+) -> list[fleet_pb2.WaitingSum]:
+    """Encodes the sums of waiting requests."""
+    return [
+        fleet_pb2.WaitingSum(
+            service=service,
+            priority_class=priority_class,
+            requests=waiting.requests,
+            read_ms=max(0, int(waiting.prefill_s * _MS_PER_S)),
+        )
+        for (service, priority_class), waiting in sums_by_key.items()
+    ]
+
+
+def waiting_from_messages(
+    messages: Iterable[fleet_pb2.WaitingSum],
+) -> dict[sums_module.WaitingKey, sums_module.WaitingSum]:
+    """Decodes the sums of waiting requests."""
+    return {
+        (
+            ids.ServiceName(message.service),
+            ids.PriorityClass(message.priority_class),
+        ): sums_module.WaitingSum(
+            message.requests, message.read_ms / _MS_PER_S
+        )
+        for message in messages
+    }
--- a/packages/galenaquay/galenaquay/configuration/current.py
+++ b/packages/galenaquay/galenaquay/configuration/current.py
@@ -12,6 +12,7 @@
 
 from .. import clocks
 from . import freshness as freshness_module
+from . import priorities
 from . import routes as routes_module
 
 LOG: Final = logging.getLogger(__name__)
@@ -24,6 +25,8 @@
     """Holds the route table in force and the time of its confirmation."""
 
     table: routes_module.RouteTable | None
+    # Those of the table in force.
+    priority_classes: priorities.PriorityClasses
 
     def __init__(
         self,
@@ -32,6 +35,7 @@
         clock: Callable[[], float] = clocks.boottime_s,
     ) -> None:
         self.table = None
+        self.priority_classes = priorities.PriorityClasses({}, {})
         self.set_revoke_s(revoke_s)
         self._freshness = freshness
         self._clock = clock
@@ -56,6 +60,7 @@
         if old is not None and table.version <= old.version:
             return False
         self.table = table
+        self.priority_classes = priorities.make_priority_classes(table)
         LOG.info(
             'configuration in force',
             extra={
@@ -63,6 +68,7 @@
                 'previous': old.version if old else None,
                 'routes': sum(map(len, table.routes_by_host.values())),
                 'keys': len(table.accounts_by_key),
+                'pools_with_priorities': self.priority_classes.pools(),
             },
         )
         return True
--- a/packages/galenaquay/galenaquay/configuration/routes.py
+++ b/packages/galenaquay/galenaquay/configuration/routes.py
@@ -127,6 +127,10 @@
     limits: RequestLimits
     # Whether requests need an API key, except on public routes.
     needs_keys: bool
+    # Priorities of the accounts that have one; 0 is the most urgent.
+    priority_by_account: Mapping[ids.AccountId, int] = dataclasses.field(
+        default_factory=dict
+    )
 
     @functools.cached_property
     def max_timeout_s(self) -> float:
--- a/packages/galenaquay/galenaquay/ids.py
+++ b/packages/galenaquay/galenaquay/ids.py
@@ -17,6 +17,8 @@
 Incarnation = NewType('Incarnation', int)
 # Name of a plain service or of a pool of engines, as routes refer to it.
 ServiceName = NewType('ServiceName', str)
+# Urgency of a request within its pool, from 0, the most urgent, to 9.
+PriorityClass = NewType('PriorityClass', int)
 # Credential with which a caller authenticates as a client account.
 ApiKey = NewType('ApiKey', str)
 # Id of a part of a prompt that other prompts may share.
--- a/packages/galenaquay/galenaquay/outcomes/admission.py
+++ b/packages/galenaquay/galenaquay/outcomes/admission.py
@@ -23,6 +23,8 @@
     version: int
     # Time at which the request is given up, on the event loop's clock.
     deadline_s: float
+    # None if the requests of the pool have no classes.
+    priority_class: ids.PriorityClass | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +69,7 @@
             account,
             table.version,
             min(request.deadline_s, now_s + route.timeout_s),
+            self._current.priority_classes.find(service.name, route, account),
         )
 
     def _refuse_unknown(self, status: int, reason: str) -> Refusal:
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -227,6 +227,7 @@
             self._time_left_s(),
             helpers,
             self._forwarded.relay.last_event_id,
+            self._admitted.priority_class,
         )
         timeout_s = self._first_byte_timeout_s()
         try:
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -320,6 +320,7 @@
                 'endpoint': placement.endpoint.id,
                 'helpers': [helper.id for helper in placement.helpers],
                 'prompt_tokens': self._request.prompt_tokens,
+                'priority_class': self._admitted.priority_class,
                 'shared_parts': self._request.shared_parts,
                 'expected_s': round(placement.first_event_s, 4),
                 'loss': round(placement.loss, 3),
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -71,6 +71,8 @@
     # Id of the event after which a stream is resumed; replaces the id in the
     # caller's request. None if the caller has received no event with an id.
     last_event_id: str | None = None
+    # Class by which engines order requests; None leaves the order to them.
+    priority_class: ids.PriorityClass | None = None
 
 
 class Failure(enum.Enum):
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -43,6 +43,10 @@
       | forgetting           | Shutdowns of endpoints that are or are not listed          |
       | bounded_records      | More shutdowns than a VM keeps records of                  |
       | wait_of_service      | Endpoints of a service that all ask for time               |
+      | priority_classes     | Priorities of accounts and routes                          |
+      | plain_services_without_classes | Priorities of routes to plain services           |
+      | priority_header      | Priority classes in requests to engines                    |
+      | waiting_sums         | Waiting requests of which sixty VMs report                 |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -14,6 +14,7 @@
 from tests.properties import fleet_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
+from tests.properties import priority_properties
 from tests.properties import quarantine_properties
 from tests.properties import sharing_properties
 
@@ -23,6 +24,7 @@
     fleet_properties,
     memory_properties,
     path_properties,
+    priority_properties,
     quarantine_properties,
     sharing_properties,
 )
@@ -33,6 +35,7 @@
 LAYERS = (
     'adapters',
     'outcomes',
+    'waiting',
     'routing',
     'limits',
     'membership',
@@ -60,6 +63,7 @@
     'outcomes/forwarding_attempt',
     'outcomes/journeys',
     'outcomes/refusals',
+    'waiting/sums',
     'routing/placement',
     'routing/step_times',
     'limits/attempt_budget',
@@ -84,6 +88,7 @@
     'configuration/current',
     'configuration/freshness',
     'configuration/mirror',
+    'configuration/priorities',
     'configuration/routes',
 )
 
--- a/tests/properties/fleet_properties.py
+++ b/tests/properties/fleet_properties.py
@@ -20,6 +20,7 @@
 from galenaquay.membership import hedging
 from galenaquay.membership import revisions
 from galenaquay import telemetry
+from galenaquay.waiting import sums as waiting_sums
 
 from tests.properties import document_properties
 from tests.properties import memory_properties
@@ -49,6 +50,7 @@
         self.named_limits = named_limits.NamedLimits(
             self.revisions, clock=clock
         )
+        self.waiting = waiting_sums.WaitingSums(clock=clock)
         # What this VM and another have told each other, by its address.
         self.progress_by_address = collections.defaultdict(fleet_grpc.Progress)
         self.reports = fleet_grpc.FleetReports(
@@ -72,6 +74,7 @@
             self.quarantine,
             self.named_limits,
             self.availability,
+            self.waiting,
         )
 
     def report_to(self, receiver, now_s):
