Try blamed parts again, contain single requests

Change: a VM that ranks first for blamed parts grants one trial at a time (limits/trials.py, trial_grants.py, RequestTrial of the Fleet service). Ends name whether the head had come and whether the request was a trial. Requests have identities; two ends under one, or under one request, stop it. Parts that engines have answered explain ends only if no other part does. The step "of N prompts ... reach an engine" uses the VMs that run instead of always four. VersionConfirmer implements the new call.

--- a/packages/galenaquay-api/galenaquay_api/fleet_grpc.py
+++ b/packages/galenaquay-api/galenaquay_api/fleet_grpc.py
@@ -18,6 +18,10 @@
     async def Report(self, stream: 'grpclib.server.Stream[galenaquay_api.fleet_pb2.LoadReport, galenaquay_api.fleet_pb2.LoadReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def RequestTrial(self, stream: 'grpclib.server.Stream[galenaquay_api.fleet_pb2.TrialRequest, galenaquay_api.fleet_pb2.TrialReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/galenaquay.v1.Fleet/Report': grpclib.const.Handler(
@@ -26,6 +30,12 @@
                 galenaquay_api.fleet_pb2.LoadReport,
                 galenaquay_api.fleet_pb2.LoadReply,
             ),
+            '/galenaquay.v1.Fleet/RequestTrial': grpclib.const.Handler(
+                self.RequestTrial,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                galenaquay_api.fleet_pb2.TrialRequest,
+                galenaquay_api.fleet_pb2.TrialReply,
+            ),
         }
 
 
@@ -38,3 +48,9 @@
             galenaquay_api.fleet_pb2.LoadReport,
             galenaquay_api.fleet_pb2.LoadReply,
         )
+        self.RequestTrial = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/galenaquay.v1.Fleet/RequestTrial',
+            galenaquay_api.fleet_pb2.TrialRequest,
+            galenaquay_api.fleet_pb2.TrialReply,
+        )
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -107,8 +107,11 @@
         self.retry_after: str | None = None
         # When this run of the engine started, in Unix milliseconds.
         self.started_at_ms = time.time_ns() // _NS_PER_MS
-        # Id of a part of prompts that ends this engine as it begins to answer.
+        # Id of a part of prompts, id of a last part, and body of a request, of
+        # which each ends this engine as it begins to answer.
         self.deadly_part = ''
+        self.deadly_last_part = ''
+        self.deadly_body: bytes | None = None
         # Called when the engine has ended by itself.
         self.on_end: Callable[[], None] = lambda: None
         self.has_ended = False
@@ -248,9 +251,13 @@
             await asyncio.wait([disconnect])
 
     def _is_deadly(self, request: ReceivedRequest) -> bool:
-        parts = request.headers.get('x-prompt-prefix', '').split(',')
-        shared = [part.partition(':')[0].strip() for part in parts[:-1]]
-        return self.deadly_part in shared
+        entries = request.headers.get('x-prompt-prefix', '').split(',')
+        *shared, last = [entry.partition(':')[0].strip() for entry in entries]
+        return (
+            self.deadly_part in shared
+            or ('' != last == self.deadly_last_part)
+            or request.body == self.deadly_body
+        )
 
     def _handle_order(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -13,13 +13,12 @@
 import functools
 import logging
 import math
-from typing import Any, Final
+from typing import Final
 
 from galenaquay_api import fleet_grpc
 from galenaquay_api import fleet_pb2
 import grpclib.client
 import grpclib.exceptions
-import grpclib.server
 
 from .. import ids
 from .. import tasks
@@ -476,21 +475,6 @@
         return self._fleet.gossip_entries()
 
 
-class FleetServer(fleet_grpc.FleetBase):
-    """Implements the gRPC service `Fleet`."""
-
-    def __init__(self, reports: FleetReports) -> None:
-        self._reports = reports
-
-    async def Report(  # noqa: N802
-        self, stream: 'grpclib.server.Stream[Any, Any]'
-    ) -> None:
-        """Handles one load report."""
-        report = await stream.recv_message()
-        if report is not None:
-            await stream.send_message(self._reports.handle_report(report))
-
-
 def _zone_key(zone: ids.ZoneName) -> ids.VmId:
     """Returns the key in `Workload` of the total loads of a zone."""
     return ids.VmId(f'zone {zone}')
--- a/packages/galenaquay/galenaquay/adapters/fleet_messages.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_messages.py
@@ -130,6 +130,8 @@
                 engine_run=end.engine_run,
                 sent_age_ms=_age_ms(end.sent_age_s),
                 ended_age_ms=_age_ms(end.ended_age_s),
+                before_head=end.is_before_head,
+                is_trial=end.is_trial,
             )
             for end in part.ends
         ],
@@ -155,6 +157,8 @@
                 ids.EndpointRun(end.engine_run),
                 end.sent_age_ms / _MS_PER_S,
                 end.ended_age_ms / _MS_PER_S,
+                end.before_head,
+                end.is_trial,
             )
             for end in message.ends
         ),
--- a/packages/galenaquay/galenaquay/limits/quarantine.py
+++ b/packages/galenaquay/galenaquay/limits/quarantine.py
@@ -3,8 +3,9 @@
 A prompt that crashes the engine that begins to answer it would be sent to one
 engine after the other, by retries of its caller and of other VMs. When an
 engine ends, the VMs that lost requests there record the parts of those prompts
-that had no answer yet. VMs share these records, and each derives from them
-which parts are to blame:
+that had no answer yet, and the identities of the requests
+(`request_identities`). VMs share these records, and each derives from them
+which parts are to blame (`blame`):
 
 - A part counts the engines that ended under it, one after the other: a request
   with the part was sent after the previous counted engine had ended. Engines
@@ -12,25 +13,30 @@
 - An engine that writes an answer to a prompt with the part clears the part of
   all earlier ends, so that parts that sound prompts share are not blamed.
 - Ends that a blamed part explains do not count for other parts.
+- A request is not sent again after two ends under one of its identities. An
+  identity that engines have answered is shared by harmless requests and counts
+  like a part of prompts.
 
 Parts that have been in the same prompts at every end cannot be told apart;
-only prompts that contain all of them are refused.
+only prompts that contain all of them are refused. Blame also ends by a trial
+(`trials`): one prompt at a time is sent although a part of it is blamed.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 import dataclasses
 import logging
 import time
 from typing import Final
 
 from .. import ids
+from . import blame
 from ..engines import directory
 from ..membership import revisions as revisions_module
+from . import recent_answers
+from . import request_identities
+from . import trials
 
 LOG: Final = logging.getLogger(__name__)
-# Number of engines that ended one after the other under a part, from which the
-# part is blamed.
-MIN_ENDS: Final = 3
 # Time for which the end of an engine counts, in seconds.
 END_VALID_S: Final = 900.0
 # Time for which a VM remembers that a part was cleared, in seconds. Ends that
@@ -42,10 +48,13 @@
 # Time from the first event of an answer after which the prompt has not ended
 # the engine, in seconds.
 BEGINNING_S: Final = 0.25
-# Largest number of parts that records are kept of.
+# Largest number of parts that records are kept of, and of identities. Most
+# identities belong to one request, so they must not displace shared parts.
 MAX_PARTS: Final = 512
-# Largest number of parts whose last answer is remembered.
+MAX_IDENTITIES: Final = 512
+# Largest number of parts whose last answer is remembered, and of identities.
 MAX_ANSWERED_PARTS: Final = 4096
+MAX_ANSWERED_IDENTITIES: Final = 4096
 # Interval between removals of outdated records, in seconds.
 EXPIRY_INTERVAL_S: Final = 1.0
 
@@ -58,6 +67,10 @@
     # Time since the request was sent and since the engine ended, in seconds.
     sent_age_s: float
     ended_age_s: float
+    # Whether the head of the response had not come when the engine ended.
+    is_before_head: bool = False
+    # Whether the request was sent as a trial of blamed parts.
+    is_trial: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,16 +85,26 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _End:
-    sent_at_s: float
-    ended_at_s: float
+class BlamedPrompt:
+    """A prompt that contains blamed parts."""
+
+    parts: frozenset[ids.PromptPartId]
+    # What is known of these parts; None if the prompt is no candidate for a
+    # trial because its parts are blamed for different ends.
+    evidence: trials.Evidence | None
+    # Largest number of ends recorded for any other part of the prompt.
+    suspicion: int
+    # Whether all identities of the request are blamed.
+    is_same_request: bool
 
 
 @dataclasses.dataclass
 class _Part:
-    ends_by_run: dict[ids.EndpointRun, _End] = dataclasses.field(
+    ends_by_run: dict[ids.EndpointRun, blame.End] = dataclasses.field(
         default_factory=dict
     )
+    # When engines have last answered the part, as far as this is known here;
+    # earlier ends do not count.
     cleared_at_s: float = float('-inf')
 
     def last_ended_at_s(self) -> float:
@@ -91,20 +114,9 @@
             default=float('-inf'),
         )
 
-
-def _count_in_turn(ends: Iterable[_End]) -> int:
-    """Counts the engines that ended one after the other.
-
-    The request that an engine ended under counts only if it was sent after the
-    previous counted engine had ended.
-    """
-    count = 0
-    previous_s = float('-inf')
-    for end in sorted(ends, key=lambda end: end.ended_at_s):
-        if end.sent_at_s >= previous_s:
-            count += 1
-            previous_s = end.ended_at_s
-    return count
+    def was_answered(self) -> bool:
+        """Returns whether an engine is known to have answered the part."""
+        return self.cleared_at_s != float('-inf')
 
 
 class Quarantine:
@@ -121,9 +133,10 @@
         self._report_soon = report_soon
         self._clock = clock
         self._parts_by_id: dict[ids.PromptPartId, _Part] = {}
-        # When a prompt with a part was last answered by this VM; in order of
-        # these times.
-        self._answered_at_s_by_part: dict[ids.PromptPartId, float] = {}
+        self._answered_parts = recent_answers.RecentAnswers(MAX_ANSWERED_PARTS)
+        self._answered_identities = recent_answers.RecentAnswers(
+            MAX_ANSWERED_IDENTITIES
+        )
         self._blamed: list[frozenset[ids.PromptPartId]] = []
         self._expires_at_s = float('-inf')
 
@@ -135,15 +148,65 @@
         self, part_ids: Iterable[ids.PromptPartId]
     ) -> frozenset[ids.PromptPartId]:
         """Returns the blamed parts of a prompt, none if it may be sent."""
+        blamed = self.assess(part_ids)
+        return frozenset() if blamed is None else blamed.parts
+
+    def assess(
+        self,
+        part_ids: Iterable[ids.PromptPartId],
+        identities: Collection[ids.PromptPartId] = (),
+    ) -> BlamedPrompt | None:
+        """Returns what is blamed of a prompt; None if it may be sent.
+
+        Args:
+            part_ids: The parts of the prompt that other prompts may share.
+            identities: The identities of the request.
+        """
         self._remove_outdated()
         if not self._blamed:
-            return frozenset()
-        prompt = frozenset(part_ids)
-        return next(
-            (blamed for blamed in self._blamed if blamed <= prompt),
-            frozenset(),
+            return None
+        shared = frozenset((*part_ids, *identities))
+        own = frozenset(map(request_identities.own, identities))
+        prompt = shared | own
+        blamed = [parts for parts in self._blamed if parts <= prompt]
+        if not blamed:
+            return None
+        parts = frozenset[ids.PromptPartId]().union(*blamed)
+        others = prompt - parts
+        is_candidate = len(blamed) == 1 or parts <= own
+        return BlamedPrompt(
+            parts,
+            self.evidence(parts) if is_candidate else None,
+            max(map(self._count_ends, others), default=0),
+            bool(own) and own <= parts,
         )
 
+    def evidence(
+        self, part_ids: frozenset[ids.PromptPartId]
+    ) -> trials.Evidence | None:
+        """Returns what is known of blamed parts; None if none is blamed."""
+        self._remove_outdated()
+        if not any(parts & part_ids for parts in self._blamed):
+            return None
+        parts = [
+            self._parts_by_id[part_id]
+            for part_id in part_ids
+            if part_id in self._parts_by_id
+        ]
+        return trials.Evidence(
+            self._clock() - max(part.last_ended_at_s() for part in parts),
+            max(
+                sum(end.is_trial for end in part.ends_by_run.values())
+                for part in parts
+            ),
+            any(part.was_answered() for part in parts),
+            all(map(request_identities.is_own, part_ids)),
+        )
+
+    def _count_ends(self, part_id: ids.PromptPartId) -> int:
+        part = self._parts_by_id.get(part_id)
+        return 0 if part is None else len(part.ends_by_run)
+
     def blamed_count(self) -> int:
         """Returns the number of parts, or sets of parts, that are blamed."""
         self._remove_outdated()
@@ -154,6 +217,10 @@
         endpoint: directory.Endpoint,
         part_ids: Iterable[ids.PromptPartId],
         sent_at_s: float,
+        identities: Iterable[ids.PromptPartId] = (),
+        *,
+        is_before_head: bool = False,
+        is_trial: bool = False,
     ) -> None:
         """Records that an engine has ended before it answered a prompt.
 
@@ -161,37 +228,58 @@
             endpoint: The engine.
             part_ids: The parts of the prompt that other prompts may share.
             sent_at_s: When the request was sent, on the clock of this object.
+            identities: The identities of the request.
+            is_before_head: Whether the head of the response had not come yet.
+            is_trial: Whether the request was sent as a trial.
         """
-        end = _End(sent_at_s, self._clock())
+        end = blame.End(sent_at_s, self._clock(), is_before_head, is_trial)
         is_new = False
-        for part_id in part_ids:
+        recorded = (
+            identity
+            if self._answered_identities.last_at_s(identity) is not None
+            else request_identities.own(identity)
+            for identity in identities
+        )
+        for part_id in (*part_ids, *recorded):
             is_new |= self._add_end(part_id, endpoint.run, end)
         if is_new:
             self._derive_blamed()
             self._report_soon()
 
-    def record_answer(self, part_ids: Iterable[ids.PromptPartId]) -> None:
+    def record_answer(
+        self,
+        part_ids: Iterable[ids.PromptPartId],
+        identities: Iterable[ids.PromptPartId] = (),
+    ) -> None:
         """Records that an engine has written an answer to a prompt.
 
         The answer is complete, or was begun at least BEGINNING_S ago.
+
+        Args:
+            part_ids: The parts of the prompt that other prompts may share.
+            identities: The identities of the request.
         """
         now_s = self._clock()
         is_changed = False
         for part_id in part_ids:
-            self._answered_at_s_by_part.pop(part_id, None)
-            self._answered_at_s_by_part[part_id] = now_s
-            part = self._parts_by_id.get(part_id)
-            if part is not None and part.ends_by_run:
-                self._clear(part_id, part, now_s)
-                is_changed = True
-        while len(self._answered_at_s_by_part) > MAX_ANSWERED_PARTS:
-            del self._answered_at_s_by_part[
-                next(iter(self._answered_at_s_by_part))
-            ]
+            self._answered_parts.record(part_id, now_s)
+            is_changed |= self._clear_ended(part_id, now_s)
+        for identity in identities:
+            self._answered_identities.record(identity, now_s)
+            for part_id in (identity, request_identities.own(identity)):
+                is_changed |= self._clear_ended(part_id, now_s)
         if is_changed:
             self._derive_blamed()
             self._report_soon()
 
+    def _clear_ended(self, part_id: ids.PromptPartId, now_s: float) -> bool:
+        """Clears a part if it has ends; returns whether it had."""
+        part = self._parts_by_id.get(part_id)
+        if part is None or not part.ends_by_run:
+            return False
+        self._clear(part_id, part, now_s)
+        return True
+
     def reports_after(self, revision: int) -> list[ReportedPart]:
         """Returns what has changed after a revision, for another VM."""
         now_s = self._clock()
@@ -200,7 +288,11 @@
                 part_id,
                 tuple(
                     ReportedEnd(
-                        run, now_s - end.sent_at_s, now_s - end.ended_at_s
+                        run,
+                        now_s - end.sent_at_s,
+                        now_s - end.ended_at_s,
+                        end.is_before_head,
+                        end.is_trial,
                     )
                     for run, end in part.ends_by_run.items()
                 ),
@@ -235,27 +327,59 @@
             is_changed |= self._add_end(
                 report.part_id,
                 end.engine_run,
-                _End(now_s - end.sent_age_s, now_s - end.ended_age_s),
+                blame.End(
+                    now_s - end.sent_age_s,
+                    now_s - end.ended_age_s,
+                    end.is_before_head,
+                    end.is_trial,
+                ),
             )
         return is_changed
 
     def _add_end(
-        self, part_id: ids.PromptPartId, run: ids.EndpointRun, end: _End
+        self, part_id: ids.PromptPartId, run: ids.EndpointRun, end: blame.End
     ) -> bool:
         """Adds an end; returns whether it is new and was not cleared."""
         part = self._parts_by_id.setdefault(part_id, _Part())
-        if run in part.ends_by_run or end.ended_at_s <= part.cleared_at_s:
+        now_s = self._clock()
+        if end.ended_at_s <= part.cleared_at_s:
             return False
-        if end.ended_at_s < self._clock() - END_VALID_S:
+        if end.ended_at_s < now_s - END_VALID_S:
             return False
-        answered_at_s = self._answered_at_s_by_part.get(part_id)
-        if answered_at_s is not None and answered_at_s > end.ended_at_s:
-            self._clear(part_id, part, answered_at_s)
-            return True
+        answered_at_s = self._answered_at_s(part_id)
+        if answered_at_s is not None:
+            if request_identities.is_own(part_id):
+                # Another VM does not know that the identity is shared.
+                self._clear(part_id, part, now_s)
+                return True
+            if answered_at_s > end.ended_at_s:
+                self._clear(part_id, part, answered_at_s)
+                return True
+            if not part.was_answered():
+                # Tells the other VMs that engines have answered the part.
+                self._clear(part_id, part, answered_at_s)
+        known = part.ends_by_run.get(run)
+        if known is not None:
+            # Several requests with the part were lost at the same engine.
+            end = dataclasses.replace(
+                known,
+                is_before_head=known.is_before_head and end.is_before_head,
+                is_trial=known.is_trial or end.is_trial,
+            )
+            if end == known:
+                return False
         part.ends_by_run[run] = end
         self._revisions.record_change(_fact(part_id))
         return True
 
+    def _answered_at_s(self, part_id: ids.PromptPartId) -> float | None:
+        """Returns when this VM last had an answer; None if not known."""
+        if request_identities.is_identity(part_id):
+            return self._answered_identities.last_at_s(
+                request_identities.without_own(part_id)
+            )
+        return self._answered_parts.last_at_s(part_id)
+
     def _clear(
         self, part_id: ids.PromptPartId, part: _Part, cleared_at_s: float
     ) -> None:
@@ -270,27 +394,24 @@
     def _derive_blamed(self) -> None:
         """Updates the blamed parts; logs those that are new or cleared."""
         ends_by_part = {
-            part_id: dict(part.ends_by_run)
+            part_id: part.ends_by_run
             for part_id, part in self._parts_by_id.items()
-            if part.ends_by_run
+            if not request_identities.is_own(part_id)
         }
-        blamed: list[frozenset[ids.PromptPartId]] = []
-        while ends_by_part:
-            worst = max(
-                ends_by_part, key=lambda part_id: len(ends_by_part[part_id])
-            )
-            explained = ends_by_part[worst]
-            if _count_in_turn(explained.values()) < MIN_ENDS:
-                del ends_by_part[worst]
-                continue
-            blamed.append(
-                frozenset(
-                    part_id
-                    for part_id, ends in ends_by_part.items()
-                    if ends.keys() == explained.keys()
-                )
-            )
-            ends_by_part = _without(ends_by_part, frozenset(explained))
+        ends_by_identity = {
+            part_id: part.ends_by_run
+            for part_id, part in self._parts_by_id.items()
+            if request_identities.is_own(part_id)
+        }
+        answered = {
+            part_id
+            for part_id, part in self._parts_by_id.items()
+            if part.was_answered()
+        }
+        blamed = [
+            *blame.find_blamed_parts(ends_by_part, answered),
+            *blame.find_blamed_identities(ends_by_identity),
+        ]
         self._log_changes(blamed)
         self._blamed = blamed
 
@@ -326,21 +447,31 @@
                 part.cleared_at_s < now_s - CLEARED_VALID_S
             ):
                 self._forget(part_id)
-        excess = len(self._parts_by_id) - MAX_PARTS
-        if excess > 0:
-            ranked = sorted(
-                self._parts_by_id,
-                key=lambda part_id: (
-                    len(self._parts_by_id[part_id].ends_by_run),
-                    self._parts_by_id[part_id].last_ended_at_s(),
-                ),
-            )
-            for part_id in ranked[:excess]:
-                self._forget(part_id)
-            is_changed = True
+        is_changed |= self._evict(MAX_PARTS, is_identity=False)
+        is_changed |= self._evict(MAX_IDENTITIES, is_identity=True)
         if is_changed:
             self._derive_blamed()
 
+    def _evict(self, max_parts: int, *, is_identity: bool) -> bool:
+        """Forgets the parts with fewest ends; returns whether there were."""
+        kept = [
+            part_id
+            for part_id in self._parts_by_id
+            if request_identities.is_identity(part_id) == is_identity
+        ]
+        excess = len(kept) - max_parts
+        if excess <= 0:
+            return False
+        kept.sort(
+            key=lambda part_id: (
+                len(self._parts_by_id[part_id].ends_by_run),
+                self._parts_by_id[part_id].last_ended_at_s(),
+            )
+        )
+        for part_id in kept[:excess]:
+            self._forget(part_id)
+        return True
+
     def _forget(self, part_id: ids.PromptPartId) -> None:
         del self._parts_by_id[part_id]
         self._revisions.forget(_fact(part_id))
@@ -349,15 +480,3 @@
 def _fact(part_id: ids.PromptPartId) -> tuple[str, ids.PromptPartId]:
     """Returns the key of a part among all shared facts."""
     return ('part', part_id)
-
-
-def _without(
-    ends_by_part: dict[ids.PromptPartId, dict[ids.EndpointRun, _End]],
-    runs: frozenset[ids.EndpointRun],
-) -> dict[ids.PromptPartId, dict[ids.EndpointRun, _End]]:
-    """Returns the ends of the other runs, without parts that have none."""
-    remaining = {
-        part_id: {run: end for run, end in ends.items() if run not in runs}
-        for part_id, ends in ends_by_part.items()
-    }
-    return {part_id: ends for part_id, ends in remaining.items() if ends}
--- /dev/null
+++ b/packages/galenaquay/galenaquay/limits/trials.py
@@ -0,0 +1,149 @@
+"""Decides when one prompt may be sent although parts of it are blamed.
+
+This is the half-open state of a circuit breaker: blame ends when an engine
+answers a prompt with the blamed parts, and while no such prompt is sent, none
+can be answered. So one prompt at a time is sent as a trial. A trial under
+which an engine ends is recorded as such with the end, so that all VMs know how
+many trials have failed.
+
+At most MAX_FAILED trials may end an engine while a part stays blamed: users
+accept three requests with a crashing part after its fifth crash, and one of
+them is left for VMs that do not know of the crashes yet. A harmless part must
+be free again 6 s after the last crash, which bounds the waits for parts that
+engines have answered before.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import math
+import time
+from typing import Final
+
+from .. import ids
+from ..ports import trials
+
+# Time from the last end of an engine to the first trial of a part that engines
+# have answered before, in seconds. Prompts that were being processed at the
+# last end usually clear a harmless part earlier.
+ANSWERED_WAIT_S: Final = 1.0
+# The same for a part that no engine has answered, in seconds: it is likely to
+# be what crashes engines, and no harmless prompt is known to need it.
+UNANSWERED_WAIT_S: Final = 30.0
+# The same for an identity that another request seems to share, and for one
+# whose every request looks the same, in seconds.
+OTHER_REQUEST_WAIT_S: Final = 10.0
+SAME_REQUEST_WAIT_S: Final = 30.0
+# A prompt whose other parts have ends of their own waits longer, by this
+# factor for each end, up to a largest factor.
+SUSPICION_FACTOR: Final = 2.0
+MAX_SUSPICION_FACTOR: Final = 4.0
+# After each failed trial the next one waits longer by this factor.
+FAILED_FACTOR: Final = 4.0
+# Number of trials that may fail while a part or an identity stays blamed.
+MAX_FAILED: Final = 2
+MAX_FAILED_OF_IDENTITY: Final = 1
+# Longest lease, in seconds, whatever the time limit of the request is.
+MAX_LEASE_S: Final = 60.0
+# Time after which a VM asks again for a trial that was not granted because
+# another one is running or the parts are not blamed there, in seconds.
+RETRY_S: Final = 0.3
+
+
+@dataclasses.dataclass(frozen=True)
+class Evidence:
+    """What all VMs know of a set of blamed parts."""
+
+    # Time since the last engine ended under the parts, in seconds.
+    last_end_age_s: float
+    # Number of trials under which an engine ended.
+    failed_trials: int
+    # Whether engines have answered one of the parts before.
+    was_answered: bool
+    # Whether all the parts are identities of requests.
+    is_own: bool
+
+
+def time_until_due_s(
+    evidence: Evidence, suspicion: int, is_same_request: bool
+) -> float:
+    """Returns the time until a prompt may be tried; 0 if due, inf if never.
+
+    Args:
+        evidence: What is known of the blamed parts.
+        suspicion: Largest number of ends of any other part of the prompt.
+        is_same_request: Whether all identities of the request are blamed.
+    """
+    most = MAX_FAILED_OF_IDENTITY if evidence.is_own else MAX_FAILED
+    if evidence.failed_trials >= most:
+        return math.inf
+    if evidence.is_own:
+        wait_s = (
+            SAME_REQUEST_WAIT_S if is_same_request else OTHER_REQUEST_WAIT_S
+        )
+    else:
+        wait_s = (
+            ANSWERED_WAIT_S if evidence.was_answered else UNANSWERED_WAIT_S
+        )
+        wait_s *= min(SUSPICION_FACTOR**suspicion, MAX_SUSPICION_FACTOR)
+    wait_s *= FAILED_FACTOR**evidence.failed_trials
+    return max(0.0, wait_s - evidence.last_end_age_s)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Lease:
+    parts: frozenset[ids.PromptPartId]
+    failed_trials: int
+    expires_at_s: float
+
+
+class TrialLeases:
+    """The trials that this VM has granted and that may still run."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._leases_by_id: dict[trials.TrialId, _Lease] = {}
+
+    def grant(self, trial: trials.Trial, evidence: Evidence | None) -> float:
+        """Grants a trial if it is due and no other one may be running.
+
+        A lease ends when the trial is given back, when its request must have
+        ended, or when the end of an engine under a trial becomes known.
+
+        Args:
+            trial: The trial that a VM asks for.
+            evidence: What is known here of the blamed parts; None if they are
+                not blamed here.
+
+        Returns:
+            0 if the trial is granted, else the time for which asking again is
+            useless, in seconds.
+        """
+        if evidence is None:
+            return RETRY_S
+        now_s = self._clock()
+        self._leases_by_id = {
+            trial_id: lease
+            for trial_id, lease in self._leases_by_id.items()
+            if lease.expires_at_s > now_s
+        }
+        wait_s = time_until_due_s(
+            evidence, trial.suspicion, trial.is_same_request
+        )
+        if wait_s > 0:
+            return wait_s
+        if any(
+            lease.parts & trial.blamed_parts
+            and evidence.failed_trials <= lease.failed_trials
+            for lease in self._leases_by_id.values()
+        ):
+            return RETRY_S
+        self._leases_by_id[trial.id] = _Lease(
+            trial.blamed_parts,
+            evidence.failed_trials,
+            now_s + min(trial.duration_s, MAX_LEASE_S),
+        )
+        return 0.0
+
+    def release(self, trial_id: trials.TrialId) -> None:
+        """Ends the lease of a trial whose request has ended."""
+        self._leases_by_id.pop(trial_id, None)
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -17,6 +17,7 @@
 from ..limits import group_memory
 from ..limits import named_limits as named_limits_module
 from ..limits import quarantine as quarantine_module
+from ..limits import trial_grants as trial_grants_module
 from ..ports import exchange
 from ..routing import placement as placement_module
 
@@ -73,6 +74,7 @@
     usual_times: usual_times_module.UsualTimes
     lifetime: Lifetime
     quarantine: quarantine_module.Quarantine
+    trial_grants: trial_grants_module.TrialGrants
     named_limits: named_limits_module.NamedLimits
     availability: availability_module.Availability
     # Gets the present loads of endpoints, or gives up soon.
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -18,6 +18,7 @@
 from ..limits import quarantine as quarantine_module
 from ..ports import exchange
 from ..ports import reservations
+from . import quarantine_check as quarantine_check_module
 from ..routing import placement as placement_module
 from ..streams import event_cutter
 from ..streams import event_relay
@@ -49,6 +50,7 @@
     relay: event_relay.EventRelay
     # When the request was admitted, on the event loop's clock.
     started_s: float
+    quarantine_check: quarantine_check_module.QuarantineCheck
     # Number of attempts that were sent, or are being sent.
     attempts: int = 0
     # Latest response with a 5xx status. The caller receives this response
@@ -87,6 +89,8 @@
 
     # When the attempt began, on the clock of the quarantine.
     began_at_s: float
+    # Whether the head of the response has arrived.
+    has_head: bool
 
     def __init__(
         self,
@@ -105,6 +109,7 @@
         # When the request was sent, on the event loop's clock.
         self._sent_s = 0.0
         self.began_at_s = dependencies.quarantine.now_s()
+        self.has_head = False
         # When the first event arrived.
         self._writing_since_s: float | None = None
         # Whether the attempt has shown that the prompt does not crash its
@@ -244,6 +249,7 @@
             if response.notice is not None:
                 self._record_notice(response.notice, is_rejection=True)
             raise AttemptFailedError(response)
+        self.has_head = True
         self._record_notice(response.head.notice, is_rejection=False)
         return response
 
@@ -335,6 +341,8 @@
                 )
         else:
             self._record_success(took_s)
+            if response.head.is_success:
+                self._forwarded.quarantine_check.record_answer()
         await self._writer.send_whole(response.head, body)
 
     def _record_success(self, took_s: float) -> None:
@@ -383,7 +391,7 @@
         if not self._writer.is_started:
             await self._writer.start(response.head)
         await self._writer.finish()
-        self._dependencies.quarantine.record_answer(self._request.shared_parts)
+        self._forwarded.quarantine_check.record_answer()
 
     async def _check_orderly_end(self, response: exchange.Response) -> None:
         """Checks that a body without framing did not end with its endpoint.
@@ -409,9 +417,7 @@
             writing_s >= quarantine_module.BEGINNING_S
         ):
             self._is_answered = True
-            self._dependencies.quarantine.record_answer(
-                self._request.shared_parts
-            )
+            self._forwarded.quarantine_check.record_answer()
 
     async def _read_stream_data(
         self,
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -16,6 +16,7 @@
 from . import forwarding_attempt
 from ..limits import quarantine as quarantine_module
 from ..ports import exchange
+from . import quarantine_check
 from . import refusals
 from ..routing import placement as placement_module
 from ..streams import event_relay
@@ -56,11 +57,15 @@
         self._unsent_attempts = 0
         self._excluded: set[ids.EndpointId] = set()
         self._may_have_run = False
+        self._quarantine_check = quarantine_check.QuarantineCheck(
+            dependencies, admitted
+        )
         self._forwarded = forwarding_attempt.ForwardedRequest(
             admitted,
             writer,
             event_relay.EventRelay(writer, admitted.request.last_event_id),
             self._loop.time(),
+            self._quarantine_check,
         )
 
     def _time_left_s(self) -> float:
@@ -81,6 +86,8 @@
         except asyncio.CancelledError:
             self._log_end('caller left')
             raise
+        finally:
+            self._quarantine_check.close()
 
     async def _attempt(self) -> bool:
         """Makes one attempt.
@@ -88,9 +95,7 @@
         Returns:
             Whether the request has ended; False if another attempt follows.
         """
-        blamed = self._dependencies.quarantine.find_blamed(
-            self._request.shared_parts
-        )
+        blamed = await self._quarantine_check.find_blamed(self._time_left_s())
         if blamed:
             await self._refuse_quarantined(blamed)
             return True
@@ -170,6 +175,7 @@
             self._excluded.add(endpoint.id)
         if not error.failure.is_not_run:
             self._may_have_run = True
+            self._quarantine_check.record_sent()
         if is_not_sent:
             self._forwarded.attempts -= 1
             self._unsent_attempts += 1
@@ -232,14 +238,18 @@
                 'started_at_ms': endpoint.started_at_ms,
                 'attempt': self._forwarded.attempts,
                 'shared_parts': self._request.shared_parts,
+                'identities': self._quarantine_check.identities,
+                'has_head': attempt.has_head,
                 'writing_s': (
                     None if writing_s is None else round(writing_s, 4)
                 ),
             },
         )
         if writing_s is None or writing_s < quarantine_module.BEGINNING_S:
-            self._dependencies.quarantine.record_end(
-                endpoint, self._request.shared_parts, attempt.began_at_s
+            self._quarantine_check.record_end(
+                endpoint,
+                attempt.began_at_s,
+                is_before_head=not attempt.has_head,
             )
 
     async def _check_retry(self, error: exchange.SendError) -> bool:
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -42,6 +42,8 @@
     # Parts of the prompt that other prompts may share, in order; without the
     # last part, which belongs to this request or its session.
     shared_parts: tuple[ids.PromptPartId, ...] = ()
+    # The last part; None if the request names no parts.
+    last_part: ids.PromptPartId | None = None
 
     @property
     def path(self) -> str:
--- /dev/null
+++ b/packages/galenaquay/galenaquay/ports/trials.py
@@ -0,0 +1,41 @@
+"""The port to the VMs that grant trials of prompts with blamed parts."""
+
+import dataclasses
+from typing import NewType, Protocol
+
+from .. import ids
+
+# Names one trial among those of all VMs.
+TrialId = NewType('TrialId', str)
+
+
+@dataclasses.dataclass(frozen=True)
+class Trial:
+    """A prompt with blamed parts that a VM wants to send."""
+
+    id: TrialId
+    blamed_parts: frozenset[ids.PromptPartId]
+    # Largest number of ends recorded for any other part of the prompt.
+    suspicion: int
+    # Whether all identities of the request are blamed, so that the prompt is
+    # likely to be the same request again.
+    is_same_request: bool
+    # Time after which the request has ended in any case, in seconds.
+    duration_s: float
+
+
+class TrialPeers(Protocol):
+    """Asks other VMs for trials."""
+
+    async def request_trial(self, address: str, trial: Trial) -> float | None:
+        """Asks a VM to grant a trial.
+
+        Returns:
+            0 if the trial is granted, else the time for which asking again is
+            useless, in seconds. None if the VM does not reply in time.
+        """
+        ...
+
+    async def give_back(self, address: str, trial_id: TrialId) -> None:
+        """Tells a VM that a trial is over; the message may be lost."""
+        ...
--- a/tests/features/steps/platform_documents_steps.py
+++ b/tests/features/steps/platform_documents_steps.py
@@ -8,6 +8,8 @@
 from behave import when
 from galenaquay_api import fleet_grpc
 from galenaquay_api import fleet_pb2
+import grpclib.const
+import grpclib.exceptions
 import grpclib.server
 
 from tests import platform_asking
@@ -210,6 +212,9 @@
         self._fixture = fixture
         self._address = address
 
+    async def RequestTrial(self, stream):  # noqa: N802
+        raise grpclib.exceptions.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+
     async def Report(self, stream):  # noqa: N802
         await stream.recv_message()
         sender = fleet_pb2.Member(
--- a/tests/features/steps/platform_quarantine_steps.py
+++ b/tests/features/steps/platform_quarantine_steps.py
@@ -13,6 +13,10 @@
 DEADLY = 'dead01'
 FIRST = 'aa01'
 CRASHES = 5
+DEADLY_LAST = 'dead02'
+DEADLY_BODY = b'{"prompt":"deadly"}'
+# Route whose requests are sent once, as streams there cannot be resumed.
+ONCE = '/tell/x'
 
 
 def engines_of(context):
@@ -33,14 +37,21 @@
     ]
 
 
-async def send_prompt(context, vm, *shared_parts):
-    number = next(context.prompt_numbers)
-    parts = [*shared_parts, f'e{number:04x}']
+async def send_prompt(
+    context, vm, *shared_parts, target='/ask/x', last_part=None, body=b'{}'
+):
+    last_part = last_part or f'e{next(context.prompt_numbers):04x}'
+    return await send_parts(
+        context, vm, [*shared_parts, last_part], target, body
+    )
+
+
+async def send_parts(context, vm, parts, target='/ask/x', body=b'{}'):
     return await support.send_request(
         platform_asking.fixture(context).front_port(vm),
         'POST',
-        '/ask/x',
-        b'{}',
+        target,
+        body,
         X_Token_Counts='5000,500',
         X_Prompt_Prefix=','.join(f'{part}:40' for part in parts),
     )
@@ -98,9 +109,11 @@
 def step_few_reach(context, count, most):
     before = len(prompts_received(context, DEADLY))
 
+    vms = sorted(platform_asking.fixture(context).processes)
+
     async def run_step():
         return [
-            await send_prompt(context, number % 4, FIRST, DEADLY)
+            await send_prompt(context, vms[number % len(vms)], FIRST, DEADLY)
             for number in range(count)
         ]
 
@@ -160,3 +173,145 @@
 @then('prompts with the part are answered')
 def step_part_answered(context):
     check_answered(context, FIRST)
+
+
+@when('prompts that share the first part have been answered')
+def step_answered_before(context):
+    check_answered(context, FIRST)
+
+
+@when(
+    'an engine crashes by itself under a prompt with the first part, and two '
+    'under prompts with the part'
+)
+def step_blame_first_part(context):
+    async def crash_by_itself():
+        for engine in engines_of(context):
+            engine.event_delay_s = 1.0
+        sent = asyncio.ensure_future(
+            send_prompt(context, 0, FIRST, target=ONCE, last_part='e999')
+        )
+        await asyncio.sleep(0.3)
+        for engine in engines_of(context):
+            engine.event_delay_s = 0.0
+        (busy,) = [
+            engine
+            for engine in engines_of(context)
+            if any(
+                'e999' in request.headers.get('x-prompt-prefix', '')
+                for request in engine.received
+            )
+        ]
+        busy.end()
+        return await sent
+
+    async def run_step():
+        broken = [await crash_by_itself()]
+        for vm in (1, 0):
+            await asyncio.sleep(0.3)
+            broken.append(
+                await send_prompt(context, vm, FIRST, DEADLY, target=ONCE)
+            )
+        return broken
+
+    for response in platform_asking.run(context, run_step()):
+        assert response.status != 200 or not response.is_complete, response
+
+
+@when('{seconds:g} seconds pass without a prompt')
+def step_no_prompts(context, seconds):
+    platform_asking.run(context, asyncio.sleep(seconds))
+
+
+@then(
+    'of {count:d} prompts that share the first part, one each {seconds:g} '
+    'seconds, at least {least:d} are answered'
+)
+def step_answered_again(context, count, seconds, least):
+    async def run_step():
+        sent = []
+        for number in range(count):
+            sent.append(
+                asyncio.ensure_future(send_prompt(context, number % 3, FIRST))
+            )
+            await asyncio.sleep(seconds)
+        return await asyncio.gather(*sent)
+
+    responses = platform_asking.run(context, run_step())
+    answered = [r for r in responses if r.status == 200 and r.is_complete]
+    assert len(answered) >= least, [r.status for r in responses]
+
+
+@given('a last part that crashes each engine that begins to answer it')
+def step_deadly_last_part(context):
+    for engine in engines_of(context):
+        engine.deadly_last_part = DEADLY_LAST
+
+
+@given('a body that crashes each engine that begins to answer it')
+def step_deadly_body(context):
+    for engine in engines_of(context):
+        engine.deadly_body = DEADLY_BODY
+
+
+@when('requests with this {content} are sent {count:d} times to all VMs')
+def step_repeat_request(context, content, count):
+    contents = {
+        'last part': {'last_part': DEADLY_LAST},
+        'body': {'body': DEADLY_BODY},
+    }
+
+    async def run_step():
+        for number in range(count):
+            await send_prompt(context, number % 3, FIRST, **contents[content])
+            # The fleet knows of an end within this time.
+            await asyncio.sleep(0.2)
+
+    platform_asking.run(context, run_step())
+
+
+@then('at most {count:d} engines have crashed')
+def step_few_crashed(context, count):
+    # An engine that comes back has a suffix for each crash.
+    names = platform_asking.fixture(context).engines_by_name
+    again = sum(name.endswith('-again') for name in names)
+    ended = sum(
+        engine.has_ended and f'{engine.name}-again' not in names
+        for engine in engines_of(context)
+    )
+    assert again + ended <= count, (again, ended, sorted(names))
+
+
+@when('each of three engines crashes while it has identical requests')
+def step_crash_under_identical(context):
+    async def crash_one():
+        for engine in engines_of(context):
+            engine.event_delay_s = 1.0
+        sent = [
+            asyncio.ensure_future(send_parts(context, 0, ['e1']))
+            # The retry budget allows for these to be sent again.
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0.2)
+        busy = next(
+            engine
+            for engine in engines_of(context)
+            if not engine.has_ended and engine.executed_requests()
+        )
+        for engine in engines_of(context):
+            engine.event_delay_s = 0.0
+        busy.end()
+        return await asyncio.gather(*sent)
+
+    for _ in range(3):
+        for response in platform_asking.run(context, crash_one()):
+            assert response.status == 200, response
+            assert response.is_complete
+
+
+@then('identical requests are answered')
+def step_identical_answered(context):
+    for _ in range(12):
+        response = platform_asking.run(context, send_parts(context, 0, ['e1']))
+        assert response.status == 200, response
+        assert response.is_complete, response
--- a/tests/platform_support.py
+++ b/tests/platform_support.py
@@ -242,6 +242,8 @@
                 name, old.service, old.zone, old.port, old.events
             )
             engine.deadly_part = old.deadly_part
+            engine.deadly_last_part = old.deadly_last_part
+            engine.deadly_body = old.deadly_body
             engine.event_interval_s = old.event_interval_s
             engine.on_end = functools.partial(plan_restart, engine)
             self.engines_by_name[name] = engine
