Check trials over lost messages and member changes

Cause: the times of trials and the number of engines they may end need a check over lost and late messages, VMs that end and start, and several VMs. At most two VMs by rank grant trials of a part.

--- a/packages/galenaquay/galenaquay/limits/quarantine.py
+++ b/packages/galenaquay/galenaquay/limits/quarantine.py
@@ -13,9 +13,10 @@
 - An engine that writes an answer to a prompt with the part clears the part of
   all earlier ends, so that parts that sound prompts share are not blamed.
 - Ends that a blamed part explains do not count for other parts.
-- A request is not sent again after two ends under one of its identities. An
-  identity that engines have answered is shared by harmless requests and counts
-  like a part of prompts.
+- A request is not sent again after two ends under one of its identities. If
+  engines have answered a last part, it counts like any part of prompts: a
+  session may use it again. A body that engines have answered counts for
+  nothing: its content crashes no engine, and harmless requests often share it.
 
 Parts that have been in the same prompts at every end cannot be told apart;
 only prompts that contain all of them are refused. Blame also ends by a trial
@@ -234,18 +235,22 @@
         """
         end = blame.End(sent_at_s, self._clock(), is_before_head, is_trial)
         is_new = False
-        recorded = (
-            identity
-            if self._answered_identities.last_at_s(identity) is not None
-            else request_identities.own(identity)
-            for identity in identities
-        )
-        for part_id in (*part_ids, *recorded):
+        for part_id in (*part_ids, *self._recorded(identities)):
             is_new |= self._add_end(part_id, endpoint.run, end)
         if is_new:
             self._derive_blamed()
             self._report_soon()
 
+    def _recorded(
+        self, identities: Iterable[ids.PromptPartId]
+    ) -> Iterable[ids.PromptPartId]:
+        """Yields the ids under which ends count for identities."""
+        for identity in identities:
+            if self._answered_identities.last_at_s(identity) is None:
+                yield request_identities.own(identity)
+            elif not request_identities.is_body(identity):
+                yield identity
+
     def record_answer(
         self,
         part_ids: Iterable[ids.PromptPartId],
--- a/packages/galenaquay/galenaquay/limits/request_identities.py
+++ b/packages/galenaquay/galenaquay/limits/request_identities.py
@@ -54,6 +54,11 @@
     return part_id.startswith(_OWN_PREFIX)
 
 
+def is_body(identity: ids.PromptPartId) -> bool:
+    """Returns whether an identity was made from the body of a request."""
+    return identity.startswith(_BODY_PREFIX)
+
+
 def is_identity(part_id: ids.PromptPartId) -> bool:
     """Returns whether an id is an identity, not a part of prompts."""
     return part_id.startswith((_OWN_PREFIX, _LAST_PART_PREFIX, _BODY_PREFIX))
--- a/packages/galenaquay/galenaquay/limits/trial_grants.py
+++ b/packages/galenaquay/galenaquay/limits/trial_grants.py
@@ -23,6 +23,9 @@
 LOG: Final = logging.getLogger(__name__)
 # Time for which a VM that did not reply is not asked again, in seconds.
 SILENT_S: Final = 3.0
+# Number of VMs by rank that may grant trials of a part. Each of them may grant
+# one at a time if VMs do not agree on which of them replies.
+GRANTERS: Final = 2
 # Largest number of kinds of prompts for which the time of the next question is
 # remembered. If there are more, all these times are forgotten.
 MAX_ASKED: Final = 512
@@ -79,7 +82,12 @@
             The trial; None if the prompt must not be sent.
         """
         kind = (prompt.parts, prompt.suspicion, prompt.is_same_request)
-        if prompt.evidence is None or not self._may_ask(prompt, kind):
+        granter = self._find_granter(prompt.parts)
+        if (
+            granter is None
+            or prompt.evidence is None
+            or not self._may_ask(prompt, kind)
+        ):
             return None
         self._number += 1
         me = self._fleet.me
@@ -90,7 +98,6 @@
             prompt.is_same_request,
             duration_s,
         )
-        granter = self._find_granter(prompt.parts)
         self._asking.add(prompt.parts)
         try:
             wait_s = await self._ask(granter, trial)
@@ -144,18 +151,20 @@
 
     def _find_granter(
         self, parts: frozenset[ids.PromptPartId]
-    ) -> fleet_module.Member:
+    ) -> fleet_module.Member | None:
+        """Returns the VM to ask; None if all that may grant are silent."""
         now_s = self._clock()
         me = self._fleet.me
-        members_by_id = {member.vm_id: member for member in self._members()}
-        for vm_id in ranks.rank_vms(f'trial/{min(parts)}', members_by_id):
+        members_by_id = {
+            member.vm_id: member for member in (me, *self._fleet.members())
+        }
+        for vm_id in ranks.rank_vms(
+            f'trial/{min(parts)}', members_by_id, GRANTERS
+        ):
             silent_until_s = self._silent_until_s_by_vm.get(vm_id, 0.0)
             if vm_id == me.vm_id or silent_until_s <= now_s:
                 return members_by_id[vm_id]
-        return me
-
-    def _members(self) -> list[fleet_module.Member]:
-        return [self._fleet.me, *self._fleet.members()]
+        return None
 
     async def _ask(
         self, granter: fleet_module.Member, trial: trials_port.Trial
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -16,6 +16,7 @@
 from tests.properties import path_properties
 from tests.properties import quarantine_properties
 from tests.properties import sharing_properties
+from tests.properties import trial_properties
 
 PROPERTY_MODULES = (
     availability_properties,
@@ -25,6 +26,7 @@
     path_properties,
     quarantine_properties,
     sharing_properties,
+    trial_properties,
 )
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 PRODUCT = ROOT / 'packages' / 'galenaquay' / 'galenaquay'
