--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -17,6 +17,7 @@
 from tests.properties import priority_properties
 from tests.properties import quarantine_properties
 from tests.properties import sharing_properties
+from tests.properties import trial_properties
 
 PROPERTY_MODULES = (
     availability_properties,
@@ -27,6 +28,7 @@
     priority_properties,
     quarantine_properties,
     sharing_properties,
+    trial_properties,
 )
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 PRODUCT = ROOT / 'packages' / 'galenaquay' / 'galenaquay'
@@ -54,24 +56,32 @@
     'adapters/exchange_http',
     'adapters/fleet_grpc',
     'adapters/fleet_messages',
+    'adapters/fleet_server',
     'adapters/forward_front',
     'adapters/mirror_grpc',
     'adapters/timed_connections',
+    'adapters/trial_grpc',
     'outcomes/admission',
     'outcomes/dependencies',
     'outcomes/forwarding',
     'outcomes/forwarding_attempt',
     'outcomes/journeys',
+    'outcomes/quarantine_check',
     'outcomes/refusals',
     'waiting/sums',
     'routing/placement',
     'routing/step_times',
     'limits/attempt_budget',
     'limits/availability',
+    'limits/blame',
     'limits/endpoint_rates',
     'limits/group_memory',
     'limits/named_limits',
     'limits/quarantine',
+    'limits/recent_answers',
+    'limits/request_identities',
+    'limits/trial_grants',
+    'limits/trials',
     'membership/fleet',
     'membership/following',
     'membership/hedging',
@@ -80,6 +90,7 @@
     'streams/event_relay',
     'ports/exchange',
     'ports/reservations',
+    'ports/trials',
     'engines/directory',
     'engines/reliability',
     'engines/usual_times',
