Prove that unframed responses are whole

Cause: a response that has neither a length nor chunks was taken for complete unless a new connection to its endpoint was refused at that moment. The listener of a dying process, another run or another endpoint at the address accepted it, and a check without an answer counted as alive. An endpoint that left in order was taken for crashed.

Exchange.find_run replaces has_ended: it asks the address for the report of the endpoint and returns SAME, ENDED or UNKNOWN. ResponseEnds accepts an orderly close if the same run answers afterwards, or if the run is known to shut down (by its answers, or by the list) and no other response shows a crash at the same moment. The check for ended engines uses the same call; a request waits for it for at most 0.25 s.

In the stand-in, a stream closes directly after its last event, since it slept for one more interval before; reports name the run's start.

--- a/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
+++ b/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
@@ -41,6 +41,14 @@
     # Sends a stream without a length and ends like a crashed process after a
     # complete event.
     NO_LENGTH_CRASH = 'unframed crash'
+    # Sends a body without a length and ends like a crashed process before the
+    # body is complete, with all connections. The listener ends later than the
+    # connections, or another run of the endpoint, an endpoint with another id
+    # or a process that answers nothing listens at the address at once.
+    NO_LENGTH_LATE_CRASH = 'unframed late crash'
+    NO_LENGTH_RESTART = 'unframed restart'
+    NO_LENGTH_REUSE = 'unframed reuse'
+    NO_LENGTH_SILENCE = 'unframed silence'
     # Closes the connection in the middle of the response's head.
     PARTIAL_HEAD = 'cut head'
     # Resets the connection in the middle of a server-sent event.
@@ -70,21 +78,26 @@
         Fault.SLOW_ENDLESS_EVENT,
     )
 )
-# Faults that send a body without a length.
-UNFRAMED_FAULTS: Final = frozenset(
+# Faults that end all connections of the engine between two events, as a crash
+# of the process does.
+CRASH_FAULTS: Final = frozenset(
     (
-        Fault.NO_LENGTH,
-        Fault.NO_LENGTH_RESET,
-        Fault.NO_LENGTH_PARTIAL_EVENT,
         Fault.NO_LENGTH_CRASH,
+        Fault.NO_LENGTH_LATE_CRASH,
+        Fault.NO_LENGTH_RESTART,
+        Fault.NO_LENGTH_REUSE,
+        Fault.NO_LENGTH_SILENCE,
     )
 )
+# Faults that send a body without a length.
+UNFRAMED_FAULTS: Final = CRASH_FAULTS | {
+    Fault.NO_LENGTH,
+    Fault.NO_LENGTH_RESET,
+    Fault.NO_LENGTH_PARTIAL_EVENT,
+}
 # Faults that break a stream off.
-BREAKING_FAULTS: Final = frozenset(
-    (
-        Fault.PARTIAL_EVENT,
-        Fault.NO_LENGTH_RESET,
-        Fault.NO_LENGTH_PARTIAL_EVENT,
-        Fault.NO_LENGTH_CRASH,
-    )
-)
+BREAKING_FAULTS: Final = CRASH_FAULTS | {
+    Fault.PARTIAL_EVENT,
+    Fault.NO_LENGTH_RESET,
+    Fault.NO_LENGTH_PARTIAL_EVENT,
+}
--- a/packages/galenaquay-standins/galenaquay_standins/raw_responses.py
+++ b/packages/galenaquay-standins/galenaquay_standins/raw_responses.py
@@ -8,6 +8,8 @@
 from . import engine_faults
 
 HEAD_END: Final = b'\r\n\r\n'
+# Pause between two bytes of `Fault.SLOW_ENDLESS_EVENT`, in seconds.
+SLOW_BYTE_INTERVAL_S: Final = 0.1
 
 
 def rejection(status: str, attempt_id: str, *extra: str) -> bytes:
@@ -34,6 +36,34 @@
 }
 
 
+def endless_parts(
+    fault: engine_faults.Fault, head: bytes, stream_head: bytes
+) -> tuple[bytes, bytes]:
+    """Returns the start of a response without end and what follows it.
+
+    Args:
+        fault: One of `engine_faults.ENDLESS_FAULTS`.
+        head: The head of a response that is no stream.
+        stream_head: The head of a stream.
+
+    Returns:
+        The first bytes, and the bytes that are sent again and again.
+    """
+    return {
+        engine_faults.Fault.ENDLESS_HEADER: (
+            b'HTTP/1.1 200 OK\r\nX: ',
+            b'a' * 4096,
+        ),
+        engine_faults.Fault.ENDLESS_INFORMATIONAL: (
+            b'',
+            b'HTTP/1.1 103 Early Hints\r\n\r\n' * 100,
+        ),
+        engine_faults.Fault.ENDLESS_BODY: (head, b'a' * 4096),
+        engine_faults.Fault.ENDLESS_EVENT: (stream_head, b'a' * 4096),
+        engine_faults.Fault.SLOW_ENDLESS_EVENT: (stream_head, b'a'),
+    }[fault]
+
+
 def chunk(data: bytes) -> bytes:
     """Returns data as one chunk of a chunked body."""
     return b'%x\r\n%s\r\n' % (len(data), data)
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -15,19 +15,16 @@
 import orjson
 
 from . import engine_faults
+from . import engine_memory
 from . import raw_responses
 
 _NS_PER_MS: Final = 1_000_000
-_BREAKS_BETWEEN_EVENTS: Final = frozenset(
-    (
-        engine_faults.Fault.NO_LENGTH_RESET,
-        engine_faults.Fault.NO_LENGTH_CRASH,
-    )
-)
-
-
-# Pause between two bytes of `Fault.SLOW_ENDLESS_EVENT`, in seconds.
-SLOW_BYTE_INTERVAL_S: Final = 0.1
+_BREAKS_BETWEEN_EVENTS: Final = engine_faults.CRASH_FAULTS | {
+    engine_faults.Fault.NO_LENGTH_RESET
+}
+# Time for which the listener of an engine outlives the connections in
+# `Fault.NO_LENGTH_LATE_CRASH`, in seconds.
+LISTENER_OUTLIVES_S: Final = 0.15
 
 
 @dataclasses.dataclass
@@ -56,15 +53,6 @@
         return self.headers.get('x-attempt-id', '')
 
 
-@dataclasses.dataclass
-class Reservation:
-    """Engine memory reserved for a request."""
-
-    tokens: int
-    # Expiry on the monotonic clock, in seconds.
-    expires_at_s: float
-
-
 class SealedEngine:
     """Engine or plain service stand-in that listens on loopback."""
 
@@ -112,10 +100,15 @@
         # Called when the engine has ended by itself.
         self.on_end: Callable[[], None] = lambda: None
         self.has_ended = False
+        # Whether connections are accepted, but no request is answered.
+        self.is_silent = False
+        # Whether the engine offers a report, and the number of reads of it.
+        self.has_report = True
+        self.report_reads = 0
         self.orders: list[dict[str, Any]] = []
         # Whether the engine carries out orders without responding to them.
         self.drops_order_responses = False
-        self.reservations_by_id: dict[str, Reservation] = {}
+        self.reservations_by_id: dict[str, engine_memory.Reservation] = {}
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._numbers = itertools.count()
@@ -150,9 +143,30 @@
         self.has_ended = True
         if self._server is not None:
             self._server.close()
+        self.end_connections()
+        self.on_end()
+
+    def end_connections(self) -> None:
+        """Ends all connections, in order unless data is unread."""
         for writer in list(self._writers):
             writer.transport.abort()
-        self.on_end()
+
+    def crash(self, fault: engine_faults.Fault) -> None:
+        """Ends like a crashed process, in the way that a fault describes."""
+        if fault is engine_faults.Fault.NO_LENGTH_CRASH:
+            self.end()
+            return
+        self.end_connections()
+        if fault is engine_faults.Fault.NO_LENGTH_RESTART:
+            self.restart()
+        elif fault is engine_faults.Fault.NO_LENGTH_REUSE:
+            self.name = f'{self.name}-another'
+        else:
+            self.is_silent = True
+        if fault is engine_faults.Fault.NO_LENGTH_LATE_CRASH:
+            asyncio.get_running_loop().call_later(
+                LISTENER_OUTLIVES_S, self.end
+            )
 
     def restart(self) -> None:
         """Begins another run of the engine under the same id and address."""
@@ -166,11 +180,9 @@
 
     def reserved_tokens(self) -> int:
         """Returns the memory of all unexpired reservations, in tokens."""
-        now_s = time.monotonic()
         return sum(
-            reservation.tokens
-            for reservation in self.reservations_by_id.values()
-            if reservation.expires_at_s > now_s
+            ticket['tokens']
+            for ticket in engine_memory.tickets(self.reservations_by_id)
         )
 
     async def _serve_connection(
@@ -178,6 +190,9 @@
     ) -> None:
         self._writers.add(writer)
         try:
+            if self.is_silent:
+                await reader.read()
+                return
             while await self._serve_request(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError):
@@ -219,7 +234,7 @@
         if is_order:
             return self._handle_order(request, writer)
         if target == '/api/report':
-            return self._send_report(writer)
+            return self._send_report(request, writer)
         request.run_started_at_ms = self.started_at_ms
         request.says_leaving = self.is_leaving
         request.retry_after = self.retry_after
@@ -260,7 +275,7 @@
         now_s = time.monotonic()
         status = 200
         if order['operation'] == 'reserve':
-            self.reservations_by_id[order['id']] = Reservation(
+            self.reservations_by_id[order['id']] = engine_memory.Reservation(
                 order['tokens'], now_s + order['holdMs'] / 1000
             )
         elif self.reservations_by_id.pop(order['id'], None) is None:
@@ -290,25 +305,21 @@
             lines.append(f'Retry-After: {self.retry_after}')
         return lines
 
-    def _send_report(self, writer: asyncio.StreamWriter) -> bool:
-        now_s = time.monotonic()
-        body = orjson.dumps(
-            {
-                'tickets': [
-                    {
-                        'id': reservation_id,
-                        'tokens': reservation.tokens,
-                        'state': 'held',
-                        'ageMs': 0,
-                    }
-                    for reservation_id, reservation in (
-                        self.reservations_by_id.items()
-                    )
-                    if reservation.expires_at_s > now_s
-                ]
-            }
-        )
-        writer.write(self._format_json(200, body))
+    def _send_report(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        self.report_reads += 1
+        if request.headers.get('x-expect-instance', self.name) != self.name:
+            writer.write(raw_responses.rejection('421 Misdirected', ''))
+            return True
+        if not self.has_report:
+            writer.write(self._format_json(404, b'{}'))
+            return True
+        report = {
+            'tickets': engine_memory.tickets(self.reservations_by_id),
+            'born': self.started_at_ms,
+        }
+        writer.write(self._format_json(200, orjson.dumps(report)))
         return True
 
     async def _respond(
@@ -347,7 +358,7 @@
         if self.events and fault is not engine_faults.Fault.PLAIN_RESPONSE:
             return await self._send_stream(request, fault, writer, disconnect)
         await asyncio.sleep(self.answer_delay_s)
-        return self._send_plain(request, fault, writer)
+        return await self._send_plain(request, fault, writer)
 
     def _format_head(
         self,
@@ -386,22 +397,8 @@
             fault,
             'Content-Type: text/event-stream\r\nConnection: close',
         )
-        start, filler = {
-            engine_faults.Fault.ENDLESS_HEADER: (
-                b'HTTP/1.1 200 OK\r\nX: ',
-                b'a' * 4096,
-            ),
-            engine_faults.Fault.ENDLESS_INFORMATIONAL: (
-                b'',
-                b'HTTP/1.1 103 Early Hints\r\n\r\n' * 100,
-            ),
-            engine_faults.Fault.ENDLESS_BODY: (
-                self._format_head(request, fault, 'Connection: close'),
-                b'a' * 4096,
-            ),
-            engine_faults.Fault.ENDLESS_EVENT: (stream, b'a' * 4096),
-            engine_faults.Fault.SLOW_ENDLESS_EVENT: (stream, b'a'),
-        }[fault]
+        plain = self._format_head(request, fault, 'Connection: close')
+        start, filler = raw_responses.endless_parts(fault, plain, stream)
         is_slow = fault is engine_faults.Fault.SLOW_ENDLESS_EVENT
         writer.write(start)
         try:
@@ -409,23 +406,28 @@
                 self.endless_bytes += len(filler)
                 writer.write(filler)
                 await writer.drain()
-                await asyncio.sleep(SLOW_BYTE_INTERVAL_S if is_slow else 0.0)
+                await asyncio.sleep(
+                    raw_responses.SLOW_BYTE_INTERVAL_S if is_slow else 0.0
+                )
         finally:
             request.client_disconnected = True
 
-    def _send_plain(
+    async def _send_plain(
         self,
         request: ReceivedRequest,
         fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
     ) -> bool:
         length = f'Content-Length: {len(self.body)}'
-        if fault in (
-            engine_faults.Fault.NO_LENGTH,
-            engine_faults.Fault.NO_LENGTH_RESET,
-        ):
+        if fault in engine_faults.UNFRAMED_FAULTS:
             length = 'Connection: close'
         response = self._format_head(request, fault, length) + self.body
+        if fault in engine_faults.CRASH_FAULTS:
+            writer.write(response[: -len(self.body) // 2])
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            self.crash(fault)
+            return False
         writer.write(response)
         if fault is engine_faults.Fault.DUPLICATE_RESPONSE:
             writer.write(response)
@@ -473,14 +475,15 @@
                 writer.write(raw_responses.chunk(part) if is_chunked else part)
                 await writer.drain()
                 await asyncio.sleep(0.02)
-                if fault is engine_faults.Fault.NO_LENGTH_CRASH:
-                    self.end()
+                if fault in engine_faults.CRASH_FAULTS:
+                    self.crash(fault)
                 elif fault is not engine_faults.Fault.NO_LENGTH_PARTIAL_EVENT:
                     raw_responses.reset(writer)
                 return False
             writer.write(raw_responses.chunk(event) if is_chunked else event)
             await writer.drain()
-            await asyncio.sleep(self.event_interval_s)
+            if number + 1 < self.events:
+                await asyncio.sleep(self.event_interval_s)
             if disconnect.done():
                 request.client_disconnected = True
                 return False
--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -15,6 +15,7 @@
 
 from ..engines import directory
 from ..ports import exchange
+from . import run_checks
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for connecting to an endpoint, in seconds.
@@ -142,8 +143,9 @@
 class HttpExchange:
     """Sends requests to endpoints, one connection per request."""
 
-    def __init__(self, codec: Codec) -> None:
+    def __init__(self, codec: Codec, run_codec: run_checks.RunCodec) -> None:
         self._codec = codec
+        self._run_checker = run_checks.RunChecker(run_codec)
 
     async def send(
         self, request: exchange.Request, params: exchange.AttemptParams
@@ -168,23 +170,11 @@
             writer.transport.abort()
         return response
 
-    async def has_ended(self, endpoint: directory.Endpoint) -> bool:
-        """Returns whether the host refuses connections to an endpoint.
-
-        An endpoint that does not respond in time may be cut off or frozen, so
-        it does not count as ended.
-        """
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(
-                    endpoint.host, endpoint.port
-                )
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError):
-            return False
-        writer.transport.abort()
-        return False
+    async def find_run(
+        self, endpoint: directory.Endpoint
+    ) -> exchange.RunState:
+        """Returns whether an endpoint's own run answers at its address."""
+        return await self._run_checker.find_run(endpoint)
 
     async def _exchange(
         self,
--- a/packages/galenaquay/galenaquay/engines/directory.py
+++ b/packages/galenaquay/galenaquay/engines/directory.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from .. import ids
+from . import departures as departures_module
 
 LOG: Final = logging.getLogger(__name__)
 # Time for which an endpoint that was removed from the list is still used if
@@ -55,11 +56,14 @@
 
     endpoints_by_id: dict[ids.EndpointId, Endpoint]
     withdrawn_zones: set[ids.ZoneName]
+    # Runs that the list shows to shut down.
+    departures: departures_module.Departures
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.endpoints_by_id = {}
         self.withdrawn_zones = set()
         self._clock = clock
+        self.departures = departures_module.Departures(clock)
         # Endpoints that were removed from the list, with the time of removal.
         self._removed_by_id: dict[ids.EndpointId, tuple[Endpoint, float]] = {}
 
@@ -77,6 +81,10 @@
         old = self.endpoints_by_id.get(endpoint.id)
         self.endpoints_by_id[endpoint.id] = endpoint
         self._removed_by_id.pop(endpoint.id, None)
+        if endpoint.state is EndpointState.DRAINING:
+            self.departures.record_draining(endpoint.run)
+        else:
+            self.departures.record_ready(endpoint.run)
         if old is None or old.state is not endpoint.state:
             LOG.info(
                 'endpoint listed',
@@ -95,6 +103,7 @@
         if removed is None:
             return
         self._removed_by_id[endpoint_id] = (removed, self._clock())
+        self.departures.record_removed(removed.run)
         LOG.info('endpoint gone', extra={'endpoint': endpoint_id})
 
     def set_withdrawn_zones(self, zones: Iterable[ids.ZoneName]) -> None:
--- a/packages/galenaquay/galenaquay/limits/availability.py
+++ b/packages/galenaquay/galenaquay/limits/availability.py
@@ -95,6 +95,10 @@
             default=0.0,
         )
 
+    def is_leaving(self, endpoint: directory_module.Endpoint) -> bool:
+        """Returns whether a run has said that it shuts down."""
+        return endpoint.run in self._known_at_s_by_leaving_run
+
     def leaving_count(self) -> int:
         """Returns the number of runs that are known to shut down."""
         self._forget_unlisted()
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -18,6 +18,7 @@
 from ..limits import named_limits as named_limits_module
 from ..limits import quarantine as quarantine_module
 from ..ports import exchange
+from . import response_ends as response_ends_module
 from ..routing import placement as placement_module
 
 
@@ -75,5 +76,6 @@
     quarantine: quarantine_module.Quarantine
     named_limits: named_limits_module.NamedLimits
     availability: availability_module.Availability
+    response_ends: response_ends_module.ResponseEnds
     # Gets the present loads of endpoints, or gives up soon.
     refresh_loads: Callable[[], Awaitable[None]]
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -70,11 +70,11 @@
     return await anext(body, None)
 
 
-async def _read_whole(response: exchange.Response) -> bytes:
+async def _read_whole(body: AsyncIterator[bytes]) -> bytes:
     """Returns the body; raises ExchangeBrokenError if it is too large."""
     parts: list[bytes] = []
     size = 0
-    async for data in response.body():
+    async for data in body:
         size += len(data)
         if size > MAX_WHOLE_RESPONSE_BYTES:
             raise exchange.ExchangeBrokenError('the body is too large')
@@ -87,6 +87,8 @@
 
     # When the attempt began, on the clock of the quarantine.
     began_at_s: float
+    # What a check at the end of the response has shown; None without a check.
+    run_state: exchange.RunState | None = None
 
     def __init__(
         self,
@@ -105,6 +107,8 @@
         # When the request was sent, on the event loop's clock.
         self._sent_s = 0.0
         self.began_at_s = dependencies.quarantine.now_s()
+        # When the last data of the body arrived, on the clock of the ends.
+        self._last_data_s = 0.0
         # When the first event arrived.
         self._writing_since_s: float | None = None
         # Whether the attempt has shown that the prompt does not crash its
@@ -316,7 +320,7 @@
             AttemptFailedError: The status is 5xx and the request may be sent
                 again.
         """
-        body = await _read_whole(response)
+        body = await _read_whole(self._body(response))
         await self._check_orderly_end(response)
         took_s = self._loop.time() - self._sent_s
         if response.head.status >= 500:
@@ -356,7 +360,7 @@
         jobs: list[tuple[ids.EndpointId, workload_module.Job]],
     ) -> None:
         cutter = event_cutter.EventCutter()
-        body = response.body()
+        body = self._body(response)
         has_first_event = False
         event_at_s = self._loop.time()
         while True:
@@ -378,6 +382,9 @@
                     self._check_answered()
                 await self._forwarded.relay.pass_on(response.head, event)
         if cutter.leftover():
+            self._dependencies.response_ends.record_broken(
+                self._placement.endpoint
+            )
             raise exchange.ExchangeBrokenError('ended inside an event')
         await self._check_orderly_end(response)
         if not self._writer.is_started:
@@ -385,21 +392,35 @@
         await self._writer.finish()
         self._dependencies.quarantine.record_answer(self._request.shared_parts)
 
+    async def _body(self, response: exchange.Response) -> AsyncIterator[bytes]:
+        """Yields the body; records when data arrived and a broken end."""
+        ends = self._dependencies.response_ends
+        self._last_data_s = ends.now_s()
+        try:
+            async for data in response.body():
+                self._last_data_s = ends.now_s()
+                yield data
+        except exchange.ExchangeBrokenError:
+            ends.record_broken(self._placement.endpoint)
+            raise
+
     async def _check_orderly_end(self, response: exchange.Response) -> None:
         """Checks that a body without framing did not end with its endpoint.
 
-        The connections of a crashed process may end like those that it closes
-        after a complete body.
-
         Raises:
-            exchange.ExchangeBrokenError: The endpoint has ended.
+            exchange.ExchangeBrokenError: It is not shown that the endpoint
+                has sent the whole body.
         """
-        if not response.head.is_framed and (
-            await self._dependencies.exchange.has_ended(
-                self._placement.endpoint
+        if response.head.is_framed:
+            return
+        verdict = await self._dependencies.response_ends.judge(
+            self._placement.endpoint, self._request.id, self._last_data_s
+        )
+        self.run_state = verdict.run_state
+        if not verdict.is_complete:
+            raise exchange.ExchangeBrokenError(
+                f'closed without framing, run {verdict.run_state.value}'
             )
-        ):
-            raise exchange.ExchangeBrokenError('ended with its endpoint')
 
     def _check_answered(self) -> None:
         """Records that the engine writes an answer, once it has for a time."""
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from .. import ids
+from .. import tasks
 from . import admission
 from . import dependencies as dependencies_module
 from ..engines import directory as directory_module
@@ -32,6 +33,11 @@
 # Weight of a rejected request in the endpoint's failure statistics; other
 # failures have weight 1.
 REJECTION_WEIGHT: Final = 0.5
+# Longest time for which the next attempt waits to learn whether the engine of
+# the failed one has ended, in seconds.
+END_CHECK_WAIT_S: Final = 0.25
+# Checks for ended engines that are in progress.
+_END_CHECKS: Final[set[asyncio.Task[None]]] = set()
 
 
 class RequestForwarding:
@@ -118,7 +124,7 @@
             status = await attempt.run()
         except forwarding_attempt.AttemptFailedError as exc:
             self._record_failure(placement, exc.error)
-            await self._check_ended(attempt, placement.endpoint, exc.error)
+            await self._start_end_check(attempt, placement.endpoint, exc.error)
             return not await self._check_retry(exc.error)
         self._log_end('answered', status=status)
         return True
@@ -204,6 +210,24 @@
             },
         )
 
+    async def _start_end_check(
+        self,
+        attempt: forwarding_attempt.ForwardingAttempt,
+        endpoint: directory_module.Endpoint,
+        error: exchange.SendError,
+    ) -> None:
+        """Starts the check for an ended engine and waits a short time.
+
+        The next attempt uses the result if it comes in time. The caller does
+        not wait longer for an engine that is cut off or frozen.
+        """
+        check = tasks.start(
+            self._check_ended(attempt, endpoint, error), 'end of an engine'
+        )
+        _END_CHECKS.add(check)
+        check.add_done_callback(_END_CHECKS.discard)
+        await asyncio.wait([check], timeout=END_CHECK_WAIT_S)
+
     async def _check_ended(
         self,
         attempt: forwarding_attempt.ForwardingAttempt,
@@ -217,9 +241,13 @@
         if (
             error.failure is not exchange.Failure.BROKEN
             or self._admitted.service.engine is None
-            or not await self._dependencies.exchange.has_ended(endpoint)
         ):
             return
+        state = attempt.run_state
+        if state is None:
+            state = await self._dependencies.exchange.find_run(endpoint)
+        if state is not exchange.RunState.ENDED:
+            return
         writing_s = attempt.writing_s()
         self._dependencies.metrics.count(
             'requests_lost_to_engine_ends', writing=writing_s is not None
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -164,6 +164,17 @@
     """The body of a response ended early or is invalid."""
 
 
+class RunState(enum.Enum):
+    """Whether the known run of an endpoint is alive."""
+
+    # The endpoint answers as the same run.
+    SAME = 'same'
+    # The connection is refused, or another run or endpoint answers.
+    ENDED = 'ended'
+    # Nothing answers in time; the endpoint may be cut off or frozen.
+    UNKNOWN = 'unknown'
+
+
 class Response(Protocol):
     """A response whose status and headers have arrived."""
 
@@ -187,8 +198,8 @@
         """Sends a request once and waits for the response headers."""
         ...
 
-    async def has_ended(self, endpoint: directory.Endpoint) -> bool:
-        """Returns whether no process listens at an endpoint's address."""
+    async def find_run(self, endpoint: directory.Endpoint) -> RunState:
+        """Returns whether an endpoint's own run answers at its address."""
         ...
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,12 +19,14 @@
 WITHDRAWAL_FACTOR = 2.0
 # Complete answers of other kinds, which clients get as they are, and a crash,
 # after which nothing would start the engine again.
-UNUSED_FAULTS = frozenset(
-    (
-        engine_faults.Fault.ENCODED,
-        engine_faults.Fault.PLAIN_RESPONSE,
-        engine_faults.Fault.NO_LENGTH_CRASH,
+UNUSED_FAULTS = (
+    frozenset(
+        (
+            engine_faults.Fault.ENCODED,
+            engine_faults.Fault.PLAIN_RESPONSE,
+        )
     )
+    | engine_faults.CRASH_FAULTS
 )
 
 
