Test unframed ends by properties and the soak

Four properties say when an orderly close counts as the end of its response, and what answers to a read of the report show of a run; they guard against half of a response that looks complete and against whole responses of a leaving endpoint that look broken.

The soak now has engines that crash in the middle of an unframed response while another run answers at once.

--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -159,6 +159,7 @@
         self.end_connections()
         if fault is engine_faults.Fault.NO_LENGTH_RESTART:
             self.restart()
+            self.on_end()
         elif fault is engine_faults.Fault.NO_LENGTH_REUSE:
             self.name = f'{self.name}-another'
         else:
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -43,6 +43,10 @@
       | forgetting           | Shutdowns of endpoints that are or are not listed          |
       | bounded_records      | More shutdowns than a VM keeps records of                  |
       | wait_of_service      | Endpoints of a service that all ask for time               |
+      | unframed_ends        | Closed responses without framing, by what is known of the run |
+      | ends_at_one_moment   | Responses that an endpoint which leaves closes together    |
+      | runs_by_list         | An endpoint without a report that is listed anew           |
+      | run_reports          | Answers to a read of an endpoint's report                  |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -11,6 +11,7 @@
 from galenaquay_platform import serve
 from tests.properties import availability_properties
 from tests.properties import document_properties
+from tests.properties import ends_properties
 from tests.properties import fleet_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
@@ -20,6 +21,7 @@
 PROPERTY_MODULES = (
     availability_properties,
     document_properties,
+    ends_properties,
     fleet_properties,
     memory_properties,
     path_properties,
@@ -53,6 +55,7 @@
     'adapters/fleet_messages',
     'adapters/forward_front',
     'adapters/mirror_grpc',
+    'adapters/run_checks',
     'adapters/timed_connections',
     'outcomes/admission',
     'outcomes/dependencies',
@@ -60,6 +63,7 @@
     'outcomes/forwarding_attempt',
     'outcomes/journeys',
     'outcomes/refusals',
+    'outcomes/response_ends',
     'routing/placement',
     'routing/step_times',
     'limits/attempt_budget',
@@ -76,6 +80,7 @@
     'streams/event_relay',
     'ports/exchange',
     'ports/reservations',
+    'engines/departures',
     'engines/directory',
     'engines/reliability',
     'engines/usual_times',
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,17 +17,14 @@
 # A zone is withdrawn for this multiple of the duration, as VMs may take some
 # time to follow.
 WITHDRAWAL_FACTOR = 2.0
-# Complete answers of other kinds, which clients get as they are, and a crash,
+# Complete answers of other kinds, which clients get as they are, and crashes
 # after which nothing would start the engine again.
 UNUSED_FAULTS = (
-    frozenset(
-        (
-            engine_faults.Fault.ENCODED,
-            engine_faults.Fault.PLAIN_RESPONSE,
-        )
-    )
-    | engine_faults.CRASH_FAULTS
-)
+    engine_faults.CRASH_FAULTS - {engine_faults.Fault.NO_LENGTH_RESTART}
+) | {
+    engine_faults.Fault.ENCODED,
+    engine_faults.Fault.PLAIN_RESPONSE,
+}
 
 
 def fault(function):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -70,6 +70,9 @@
             name, service, zone, self.port(offset), events
         )
         engine.event_interval_s = 0.03
+        engine.on_end = lambda: self.store.put(
+            f'servers/{name}', engine.store_entry()
+        )
         engine.advertised_port = self.port(ENGINE_PROXY_PORT_OFFSET + offset)
         await engine.start()
         engine_proxy = proxy.Proxy(engine.advertised_port, engine.port)
