--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -19,6 +19,7 @@
 from ..limits import quarantine as quarantine_module
 from ..limits import trial_grants as trial_grants_module
 from ..ports import exchange
+from . import response_ends as response_ends_module
 from ..routing import placement as placement_module
 
 
@@ -77,5 +78,6 @@
     trial_grants: trial_grants_module.TrialGrants
     named_limits: named_limits_module.NamedLimits
     availability: availability_module.Availability
+    response_ends: response_ends_module.ResponseEnds
     # Gets the present loads of endpoints, or gives up soon.
     refresh_loads: Callable[[], Awaitable[None]]
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -11,6 +11,7 @@
 from galenaquay_platform import serve
 from tests.properties import availability_properties
 from tests.properties import document_properties
+from tests.properties import ends_properties
 from tests.properties import fleet_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
@@ -22,6 +23,7 @@
 PROPERTY_MODULES = (
     availability_properties,
     document_properties,
+    ends_properties,
     fleet_properties,
     memory_properties,
     path_properties,
@@ -59,6 +61,7 @@
     'adapters/fleet_server',
     'adapters/forward_front',
     'adapters/mirror_grpc',
+    'adapters/run_checks',
     'adapters/timed_connections',
     'adapters/trial_grpc',
     'outcomes/admission',
@@ -69,6 +72,7 @@
     'outcomes/quarantine_check',
     'outcomes/refusals',
     'waiting/sums',
+    'outcomes/response_ends',
     'routing/placement',
     'routing/step_times',
     'limits/attempt_budget',
@@ -91,6 +95,7 @@
     'ports/exchange',
     'ports/reservations',
     'ports/trials',
+    'engines/departures',
     'engines/directory',
     'engines/reliability',
     'engines/usual_times',
