--- a/packages/galenaquay/galenaquay/configuration/current.py
+++ b/packages/galenaquay/galenaquay/configuration/current.py
@@ -35,7 +35,7 @@
         clock: Callable[[], float] = clocks.boottime_s,
     ) -> None:
         self.table = None
-        self.priority_classes = priorities.PriorityClasses({}, {})
+        self.priority_classes = priorities.PriorityClasses({}, {}, {})
         self.set_revoke_s(revoke_s)
         self._freshness = freshness
         self._clock = clock
--- a/packages/galenaquay/galenaquay/configuration/priorities.py
+++ b/packages/galenaquay/galenaquay/configuration/priorities.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+import dataclasses
 from typing import Final
 
 from .. import ids
@@ -21,6 +22,18 @@
 Priorities = tuple[int, int]
 
 
+@dataclasses.dataclass(frozen=True)
+class UrgentLimits:
+    """What the callers of a pool's more urgent requests accept."""
+
+    # Longest pause between two events that callers of the most urgent class
+    # accept, in seconds.
+    first_class_pause_s: float
+    # Shortest pause or target time that callers of a more urgent class accept,
+    # in seconds; None for the most urgent class.
+    tightest_s: float | None
+
+
 class PriorityClasses:
     """The priority classes of all pools in one configuration."""
 
@@ -30,9 +43,13 @@
             ids.ServiceName, Mapping[Priorities, ids.PriorityClass]
         ],
         priority_by_account: Mapping[ids.AccountId, int],
+        limits_by_class: Mapping[
+            tuple[ids.ServiceName, ids.PriorityClass], UrgentLimits
+        ],
     ) -> None:
         self._class_by_priorities = class_by_priorities
         self._priority_by_account = priority_by_account
+        self._limits_by_class = limits_by_class
 
     def find(
         self,
@@ -51,6 +68,12 @@
             )
         return classes.get((account_priority, route.priority))
 
+    def urgent_limits(
+        self, service: ids.ServiceName, priority_class: ids.PriorityClass
+    ) -> UrgentLimits:
+        """Returns the limits of the classes before a class of a pool."""
+        return self._limits_by_class[service, priority_class]
+
     def pools(self) -> list[ids.ServiceName]:
         """Returns the pools that have classes."""
         return sorted(self._class_by_priorities)
@@ -63,27 +86,54 @@
         table.priority_by_account.get(account, DEFAULT_PRIORITY)
         for account in table.accounts_by_key.values()
     }
-    allowed: dict[ids.ServiceName, set[Priorities]] = {}
+    allowed: dict[ids.ServiceName, dict[Priorities, list[routes.Route]]] = {}
     for route in _all_routes(table):
         needs_key = table.needs_keys and not route.is_public
         own = account_priorities if needs_key else {DEFAULT_PRIORITY}
         for backend in route.backends:
             service = table.services_by_name.get(backend.service)
             if service is not None and service.engine is not None:
-                allowed.setdefault(service.name, set()).update(
-                    (account_priority, route.priority)
-                    for account_priority in own
-                )
+                by_priorities = allowed.setdefault(service.name, {})
+                for account_priority in own:
+                    by_priorities.setdefault(
+                        (account_priority, route.priority), []
+                    ).append(route)
+    classes_by_service = {
+        service: _rank(by_priorities)
+        for service, by_priorities in allowed.items()
+        if len(by_priorities) > 1
+    }
     return PriorityClasses(
+        classes_by_service,
+        table.priority_by_account,
         {
-            service: _rank(priorities)
-            for service, priorities in allowed.items()
-            if len(priorities) > 1
+            (service, priority_class): _limits_before(
+                priority_class, classes, allowed[service]
+            )
+            for service, classes in classes_by_service.items()
+            for priority_class in classes.values()
         },
-        table.priority_by_account,
     )
 
 
+def _limits_before(
+    priority_class: ids.PriorityClass,
+    class_by_priorities: Mapping[Priorities, ids.PriorityClass],
+    routes_by_priorities: Mapping[Priorities, list[routes.Route]],
+) -> UrgentLimits:
+    first_pause_s = 0.0
+    tightest_s: float | None = None
+    for pair, pair_routes in routes_by_priorities.items():
+        pair_class = class_by_priorities[pair]
+        for route in pair_routes:
+            if not pair_class:
+                first_pause_s = max(first_pause_s, route.max_gap_s)
+            if pair_class < priority_class:
+                accepted_s = min(route.max_gap_s, route.target_s)
+                tightest_s = min(tightest_s or accepted_s, accepted_s)
+    return UrgentLimits(first_pause_s, tightest_s)
+
+
 def _all_routes(table: routes.RouteTable) -> Iterable[routes.Route]:
     for host_routes in table.routes_by_host.values():
         yield from host_routes
--- a/packages/galenaquay/galenaquay/engines/workload.py
+++ b/packages/galenaquay/galenaquay/engines/workload.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable, Container, Iterable, Mapping
+import contextlib
 import dataclasses
 import time
 from typing import Final
@@ -133,6 +134,8 @@
         self.changes = 0
         # Number of those changes that are reported to other VMs at once.
         self.urgent_changes = 0
+        # Number of own jobs that have ended.
+        self.ended = 0
         self._changed = asyncio.Event()
 
     def now_s(self) -> float:
@@ -151,6 +154,7 @@
         if not jobs:
             self._jobs_by_endpoint.pop(endpoint_id, None)
             self._prefilled_at_s.pop(endpoint_id, None)
+        self.ended += 1
         self.note_change(job)
 
     def note_prefilled(self, endpoint_id: ids.EndpointId, job: Job) -> None:
@@ -192,6 +196,18 @@
         while self.changes == changes:
             await self._changed.wait()
 
+    async def wait_for_end(self, ended: int, timeout_s: float) -> None:
+        """Waits until `self.ended` differs from the given count.
+
+        Args:
+            ended: The count.
+            timeout_s: Longest time to wait, in seconds.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self.ended == ended:
+                    await self._changed.wait()
+
     def record_reported_running(
         self, endpoint_id: ids.EndpointId, running: int
     ) -> None:
@@ -227,6 +243,16 @@
         """Returns what a peer has reported last; None if it has not."""
         return self._loads_by_peer.get(peer)
 
+    def peer_loads_age_s(self) -> float | None:
+        """Returns the age of the oldest loads that count; None if none do."""
+        now_s = self._clock()
+        ages_s = [
+            now_s - loads.heard_at_s
+            for loads in self._loads_by_peer.values()
+            if now_s - loads.heard_at_s <= loads.valid_s
+        ]
+        return round(max(ages_s), 4) if ages_s else None
+
     def all_peer_loads(self) -> dict[ids.VmId, PeerLoads]:
         """Returns what each peer has reported last."""
         return dict(self._loads_by_peer)
--- a/packages/galenaquay/galenaquay/outcomes/admission.py
+++ b/packages/galenaquay/galenaquay/outcomes/admission.py
@@ -6,6 +6,7 @@
 
 from .. import ids
 from ..configuration import current as current_module
+from ..configuration import priorities
 from ..configuration import routes
 from ..ports import exchange
 
@@ -25,6 +26,8 @@
     deadline_s: float
     # None if the requests of the pool have no classes.
     priority_class: ids.PriorityClass | None = None
+    # What callers of more urgent classes accept; None without classes.
+    urgent_limits: priorities.UrgentLimits | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +64,8 @@
         service = table.services_by_name.get(route.pick_service(self._rng))
         if service is None:
             return Refusal(503, 'no such service')
+        classes = self._current.priority_classes
+        priority_class = classes.find(service.name, route, account)
         now_s = asyncio.get_running_loop().time()
         return AdmittedRequest(
             request,
@@ -69,7 +74,12 @@
             account,
             table.version,
             min(request.deadline_s, now_s + route.timeout_s),
-            self._current.priority_classes.find(service.name, route, account),
+            priority_class,
+            (
+                None
+                if priority_class is None
+                else classes.urgent_limits(service.name, priority_class)
+            ),
         )
 
     def _refuse_unknown(self, status: int, reason: str) -> Refusal:
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -19,6 +19,7 @@
 from ..limits import quarantine as quarantine_module
 from ..ports import exchange
 from ..routing import placement as placement_module
+from ..waiting import room as room_module
 
 
 class Lifetime:
@@ -77,3 +78,5 @@
     availability: availability_module.Availability
     # Gets the present loads of endpoints, or gives up soon.
     refresh_loads: Callable[[], Awaitable[None]]
+    # The requests that wait for capacity.
+    room: room_module.Room
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -180,6 +180,10 @@
                             exchange.Failure.NOT_SENT,
                             f'memory {reserved.outcome.value}',
                             reserved.part.endpoint.id,
+                            is_full=(
+                                reserved.outcome
+                                is reservations.Outcome.REFUSED
+                            ),
                         )
                     )
             helpers = tuple(
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -15,10 +15,12 @@
 from ..engines import directory as directory_module
 from . import forwarding_attempt
 from ..limits import quarantine as quarantine_module
+from . import placing
 from ..ports import exchange
 from . import refusals
 from ..routing import placement as placement_module
 from ..streams import event_relay
+from ..waiting import room as room_module
 
 LOG: Final = logging.getLogger(__name__)
 
@@ -62,6 +64,9 @@
             event_relay.EventRelay(writer, admitted.request.last_event_id),
             self._loop.time(),
         )
+        self._placing = placing.Placing(
+            dependencies, admitted, self._forwarded.started_s
+        )
 
     def _time_left_s(self) -> float:
         return self._admitted.deadline_s - self._loop.time()
@@ -96,12 +101,11 @@
             return True
         if self._admitted.service.engine is not None:
             await self._dependencies.refresh_loads()
-        placement = self._place()
-        if placement is None:
-            await self._give_up('no endpoint can take it', 502)
-            return True
-        if placement.first_event_s > self._time_left_s():
-            await self._give_up('cannot be served in time', 502)
+        placement = await self._placing.find(
+            frozenset(self._excluded), may_wait=not self._writer.is_started
+        )
+        if isinstance(placement, room_module.Rejection):
+            await self._give_up(placement.reason, 502)
             return True
         if not self._writer.is_started and self._ends_after_shutdown(
             placement
@@ -149,22 +153,17 @@
         ends_at_s = self._loop.time() + expected_s * SHUTDOWN_TIME_FACTOR
         return ends_at_s > self._dependencies.lifetime.ends_at_s
 
-    def _place(self) -> placement_module.Placement | None:
-        placer = self._dependencies.placer
-        service = self._admitted.service
-        excluded = frozenset(self._excluded)
-        if service.engine is None:
-            return placer.place_call(service, excluded)
-        return placer.place_prompt(
-            self._request, self._route, service, service.engine, excluded
-        )
-
     def _record_failure(
         self,
         placement: placement_module.Placement,
         error: exchange.SendError,
     ) -> None:
         endpoint = placement.endpoint
+        self._log_failure(endpoint, error)
+        if self._returns_to_queue(error):
+            self._forwarded.attempts -= 1
+            self._placing.return_to_queue(ids.EndpointId(error.culprit))
+            return
         is_not_sent = error.failure is exchange.Failure.NOT_SENT
         if not (is_not_sent and error.culprit):
             self._excluded.add(endpoint.id)
@@ -189,6 +188,18 @@
             self._dependencies.reliability.record_failure(
                 faulty_endpoint.id, REJECTION_WEIGHT if is_rejected else 1.0
             )
+
+    def _returns_to_queue(self, error: exchange.SendError) -> bool:
+        """Returns whether a failed attempt only found too little memory."""
+        return (
+            error.is_full
+            and self._placing.can_return()
+            and not self._writer.is_started
+        )
+
+    def _log_failure(
+        self, endpoint: directory_module.Endpoint, error: exchange.SendError
+    ) -> None:
         self._dependencies.metrics.count(
             'attempts_failed', failure=error.failure.value
         )
@@ -249,6 +260,8 @@
             Whether another attempt follows. If False, the caller has already
             received a response or an error.
         """
+        if self._returns_to_queue(error):
+            return True
         if error.failure is exchange.Failure.NOT_SENT:
             if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
                 return True
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -140,6 +140,8 @@
     culprit: str = ''
     # What the endpoint says of itself; None if there was no valid response.
     notice: Notice | None = None
+    # Whether the culprit refused memory that it did not have free.
+    is_full: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -9,8 +9,8 @@
 where a constant is given as a share of the value.
 """
 
+from collections.abc import Iterator, Mapping
 import dataclasses
-import math
 import random
 from typing import Final
 
@@ -19,8 +19,10 @@
 from ..engines import directory as directory_module
 from ..engines import reliability as reliability_module
 from ..engines import workload as workload_module
+from . import kept_engines
 from ..limits import availability as availability_module
 from ..limits import endpoint_rates
+from . import losses
 from ..ports import exchange
 from . import short_set
 from . import step_times
@@ -38,20 +40,6 @@
 MIN_SPLIT_PREFILL_S: Final = 0.06
 # Prompt tokens that add one unit to the value of an answer.
 TOKENS_PER_VALUE_UNIT: Final = 10_000
-# Share of an answer's value that is lost if the answer is late.
-LATE_LOSS: Final = 0.75
-# Midpoint and width of the logistic curve that scales LATE_LOSS by the time to
-# the first event, as ratios of that time to the route's target time.
-LATENESS_MIDPOINT: Final = 0.85
-LATENESS_WIDTH: Final = 0.12
-# Midpoint and width of the logistic curve that scales LATE_LOSS by the pause
-# between two events, as ratios of the pause to the longest pause that the
-# caller accepts.
-GAP_MIDPOINT: Final = 0.88
-GAP_WIDTH: Final = 0.06
-# Share of an answer's value that is lost by waiting for the whole target time,
-# in addition to the loss for lateness. Grows linearly with the wait.
-LINEAR_WAIT_LOSS: Final = 0.05
 # Share of an answer's value that is lost if the prefill of its prompt is
 # delayed by its whole target time. Prefilling a part of another engine's
 # prompt causes such a delay.
@@ -125,6 +113,15 @@
     # Whether the engine is in the random sample for short prompts.
     is_sampled: bool
 
+    def may_prefill(
+        self, prefill_s: float, keep: kept_engines.KeepRule
+    ) -> bool:
+        """Returns whether the engine may prefill a part of a prompt."""
+        if not self.is_for_short_prompts:
+            return True
+        stall_s = (self.load.prefill_s + prefill_s) * self.slowdown
+        return stall_s + self.decode_pass_s <= keep.max_stall_s
+
     def segregation_loss(self, is_short: bool) -> float:
         """Returns the loss that keeps short and long prompts apart."""
         if is_short:
@@ -142,25 +139,6 @@
     return 1 + prompt_tokens / TOKENS_PER_VALUE_UNIT
 
 
-def _logistic(x: float) -> float:
-    return 1 / (1 + math.exp(-max(-30.0, min(30.0, x))))
-
-
-def _wait_loss(first_event_s: float, target_s: float) -> float:
-    ratio = first_event_s / target_s
-    late = LATE_LOSS * _logistic((ratio - LATENESS_MIDPOINT) / LATENESS_WIDTH)
-    return late + LINEAR_WAIT_LOSS * ratio
-
-
-def _gap_loss(gap_s: float, load: workload_module.EndpointLoad) -> float:
-    return sum(
-        group.value
-        * LATE_LOSS
-        * _logistic((gap_s / group.max_gap_s - GAP_MIDPOINT) / GAP_WIDTH)
-        for group in load.decoding_groups
-    )
-
-
 class Placer:
     """Places requests by the latest known load and state of endpoints."""
 
@@ -248,39 +226,120 @@
         service: routes.Service,
         times: routes.EngineTimes,
         excluded: frozenset[ids.EndpointId],
+        keep: kept_engines.KeepRule | None = None,
     ) -> Placement | None:
         """Chooses the engines with the lowest estimated loss for a prompt.
 
         The loss sums over this request's caller and the callers of the
         requests that already run on the engines.
+
+        Args:
+            request: The request with the prompt.
+            route: The route of the request.
+            service: The pool.
+            times: The timing model of the engines.
+            excluded: Engines that are left out.
+            keep: Which engines are kept for more urgent requests; None if the
+                pool has no priority classes.
         """
-        candidates = self._candidates(service, times, excluded)
+        loads = self._workload.loads()
+        usable = self._usable_endpoints(service, excluded)
+        candidates = self._candidates(usable, times, loads, loads, keep)
+        return min(
+            self._options(candidates, request, route, times, keep),
+            key=lambda placement: placement.loss,
+            default=None,
+        )
+
+    def estimate_idle(
+        self,
+        request: exchange.Request,
+        route: routes.Route,
+        service: routes.Service,
+        times: routes.EngineTimes,
+        excluded: frozenset[ids.EndpointId],
+        keep: kept_engines.KeepRule,
+    ) -> kept_engines.IdleEstimate | None:
+        """Estimates the times of a prompt on idle engines.
+
+        Limits on the rate of requests are left out, since they allow another
+        request soon.
+
+        Returns:
+            The estimate; None if no engine could ever serve the request.
+        """
+        loads = self._workload.loads()
+        available = [
+            endpoint
+            for endpoint in self._availability.available(service.name)
+            if endpoint.id not in excluded
+        ]
+        idle = self._candidates(available, times, loads, {}, keep)
+        outside = [c for c in idle if not c.is_for_short_prompts]
+        options = list(self._options(idle, request, route, times, None))
+        if not options:
+            return None
+        usual = min(
+            list(self._options(outside, request, route, times, None))
+            or options,
+            key=lambda placement: placement.loss,
+        )
+        return kept_engines.IdleEstimate(
+            usual.first_event_s,
+            min(placement.first_event_s for placement in options),
+            usual.decode_s,
+        )
+
+    def _options(
+        self,
+        candidates: list[_Candidate],
+        request: exchange.Request,
+        route: routes.Route,
+        times: routes.EngineTimes,
+        keep: kept_engines.KeepRule | None,
+    ) -> Iterator[Placement]:
+        """Yields the best placement for each number of engines."""
         single_s = step_times.prefill_s(times, request.prompt_tokens)
         sizes = GROUP_SIZES if single_s > MIN_SPLIT_PREFILL_S else (1,)
-        best: Placement | None = None
         for size in sizes:
-            if size > len(candidates):
-                break
+            prefill_s = single_s / size
+            allowed = candidates
+            if keep is not None:
+                allowed = [
+                    c for c in candidates if c.may_prefill(prefill_s, keep)
+                ]
+            if size > len(allowed):
+                continue
             placement = self._place_on(
-                size, candidates, single_s / size, request, route, times
+                size, allowed, prefill_s, request, route, times
             )
-            if placement is not None and (
-                best is None or placement.loss < best.loss
-            ):
-                best = placement
-        return best
+            if placement is not None:
+                yield placement
 
     def _candidates(
         self,
-        service: routes.Service,
+        usable: list[directory_module.Endpoint],
         times: routes.EngineTimes,
-        excluded: frozenset[ids.EndpointId],
+        known_loads: Mapping[ids.EndpointId, workload_module.EndpointLoad],
+        loads: Mapping[ids.EndpointId, workload_module.EndpointLoad],
+        keep: kept_engines.KeepRule | None,
     ) -> list[_Candidate]:
-        loads = self._workload.loads()
+        """Returns the engines that a prompt may be placed on.
+
+        Args:
+            usable: The engines.
+            times: The timing model of the engines.
+            known_loads: The loads by which engines for short prompts are
+                selected.
+            loads: The loads that the candidates have.
+            keep: Which engines are kept for more urgent requests.
+        """
         candidates = []
-        usable = self._usable_endpoints(service, excluded)
         short_ids = short_set.engines_for_short_prompts(
-            usable, loads, times.slots
+            usable,
+            known_loads,
+            times.slots,
+            keep.first_class_pause_s if keep else None,
         )
         sampled_ids = self._sample([e for e in usable if e.id in short_ids])
         for endpoint in usable:
@@ -348,8 +407,8 @@
                 candidate.wait_s + own_prefill_s + candidate.decode_pass_s
             )
             return (
-                _gap_loss(gap_s, candidate.load)
-                + value * _wait_loss(first_event_s, route.target_s)
+                losses.gap_loss(gap_s, candidate.load)
+                + value * losses.wait_loss(first_event_s, route.target_s)
                 + value * candidate.base_loss
                 + candidate.segregation_loss(is_short)
                 + PREFILL_DELAY_LOSS
@@ -373,12 +432,12 @@
         chosen = [candidates[i] for i in (first, *helpers)]
         prefilled_s = max(c.wait_s + prefill_s * c.slowdown for c in chosen)
         first_event_s = prefilled_s + chosen[0].decode_pass_s
-        loss = value * _wait_loss(first_event_s, route.target_s)
+        loss = value * losses.wait_loss(first_event_s, route.target_s)
         for candidate in chosen:
             gap_s = (
                 candidate.load.prefill_s + prefill_s
             ) * candidate.slowdown + candidate.decode_pass_s
-            loss += _gap_loss(gap_s, candidate.load)
+            loss += losses.gap_loss(gap_s, candidate.load)
             loss += candidate.segregation_loss(is_short)
         loss += value * chosen[0].base_loss
         for candidate in chosen[1:]:
--- a/packages/galenaquay/galenaquay/routing/short_set.py
+++ b/packages/galenaquay/galenaquay/routing/short_set.py
@@ -5,7 +5,9 @@
 number requires, and long prompts are prefilled on the other engines. All VMs
 sort the engines of a zone by the same hash, so that they select the same
 engines without coordination. The set grows with the number of requests that
-are known to run on the engines.
+are known to run on the engines. In a pool with priority classes only those
+count whose callers accept no longer pause than callers of the most urgent
+class, since long answers of less urgent classes would enlarge the set.
 """
 
 from collections.abc import Iterable, Mapping
@@ -30,10 +32,20 @@
     return xxhash.xxh64_intdigest(endpoint.id.encode())
 
 
+def _decoding_within(load: workload.EndpointLoad, pause_s: float) -> int:
+    """Counts decoding requests whose callers accept no longer pause."""
+    return sum(
+        group.count
+        for group in load.decoding_groups
+        if group.max_gap_s <= pause_s
+    )
+
+
 def engines_for_short_prompts(
     endpoints: Iterable[directory.Endpoint],
     loads: Mapping[ids.EndpointId, workload.EndpointLoad],
     slots: int,
+    first_class_pause_s: float | None = None,
 ) -> frozenset[ids.EndpointId]:
     """Returns the engines of all zones that are preferred for short prompts.
 
@@ -41,13 +53,20 @@
         endpoints: The engines that may receive requests.
         loads: The known load of the engines.
         slots: Number of requests that an engine runs at once.
+        first_class_pause_s: Longest pause that callers of the most urgent
+            class accept, in seconds; None if the pool has no classes.
     """
     endpoints_by_zone: dict[ids.ZoneName, list[directory.Endpoint]] = {}
     running, engines = 0, 0
     for endpoint in endpoints:
         endpoints_by_zone.setdefault(endpoint.zone, []).append(endpoint)
         engines += 1
-        running += loads.get(endpoint.id, _NO_LOAD).running
+        load = loads.get(endpoint.id, _NO_LOAD)
+        running += (
+            load.running
+            if first_class_pause_s is None
+            else _decoding_within(load, first_class_pause_s)
+        )
     if not engines:
         return frozenset()
     needed = (running + 1) / (slots * TARGET_OCCUPANCY)
--- a/packages/galenaquay/galenaquay/telemetry.py
+++ b/packages/galenaquay/galenaquay/telemetry.py
@@ -1,6 +1,7 @@
 """Counters, gauges and latency histograms in the Prometheus text format."""
 
 import bisect
+from collections.abc import Mapping
 from typing import Final
 
 # Upper bounds of the histogram buckets, in seconds.
@@ -15,35 +16,44 @@
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
-        self._buckets: dict[str, list[int]] = {}
-        self._sums_s: dict[str, float] = {}
+        # By name and labels.
+        self._buckets: dict[tuple[str, str], list[int]] = {}
+        self._sums_s: dict[tuple[str, str], float] = {}
         self._gauges: dict[str, float] = {}
 
     def count(self, name: str, amount: int = 1, **labels: object) -> None:
         """Adds an amount to a counter."""
-        pairs = ','.join(f'{key}="{labels[key]}"' for key in sorted(labels))
-        key = f'{PREFIX}_{name}_total{{{pairs}}}'
+        key = f'{PREFIX}_{name}_total{{{_pairs(labels)}}}'
         self._counts[key] = self._counts.get(key, 0) + amount
 
-    def gauge(self, name: str, value: float) -> None:
+    def gauge(self, name: str, value: float, **labels: object) -> None:
         """Sets the value of a gauge."""
-        self._gauges[f'{PREFIX}_{name}'] = value
+        suffix = f'{{{_pairs(labels)}}}' if labels else ''
+        self._gauges[f'{PREFIX}_{name}{suffix}'] = value
 
-    def observe(self, name: str, seconds: float) -> None:
+    def observe(self, name: str, seconds: float, **labels: object) -> None:
         """Adds a duration to a histogram."""
-        buckets = self._buckets.setdefault(name, [0] * (len(BOUNDS_S) + 1))
+        key = (name, _pairs(labels))
+        buckets = self._buckets.setdefault(key, [0] * (len(BOUNDS_S) + 1))
         buckets[bisect.bisect_left(BOUNDS_S, seconds)] += 1
-        self._sums_s[name] = self._sums_s.get(name, 0.0) + seconds
+        self._sums_s[key] = self._sums_s.get(key, 0.0) + seconds
 
     def text(self) -> str:
         """Returns all metrics as text, one sample per line."""
         lines = [f'{key} {n}' for key, n in sorted(self._counts.items())]
         lines += [f'{key} {n}' for key, n in sorted(self._gauges.items())]
-        for name, buckets in sorted(self._buckets.items()):
+        for key, buckets in sorted(self._buckets.items()):
+            name, pairs = f'{PREFIX}_{key[0]}', key[1]
+            before = f'{pairs},' if pairs else ''
+            suffix = f'{{{pairs}}}' if pairs else ''
             total = 0
             for bound, n in zip([*BOUNDS_S, '+Inf'], buckets, strict=True):
                 total += n
-                lines.append(f'{PREFIX}_{name}_bucket{{le="{bound}"}} {total}')
-            lines.append(f'{PREFIX}_{name}_sum {self._sums_s[name]:.6f}')
-            lines.append(f'{PREFIX}_{name}_count {total}')
+                lines.append(f'{name}_bucket{{{before}le="{bound}"}} {total}')
+            lines.append(f'{name}_sum{suffix} {self._sums_s[key]:.6f}')
+            lines.append(f'{name}_count{suffix} {total}')
         return '\n'.join(lines) + '\n'
+
+
+def _pairs(labels: Mapping[str, object]) -> str:
+    return ','.join(f'{key}="{labels[key]}"' for key in sorted(labels))
