--- a/packages/galenaquay/galenaquay/outcomes/placing.py
+++ b/packages/galenaquay/galenaquay/outcomes/placing.py
@@ -84,7 +84,7 @@
                     service.engine,
                     excluded,
                     admitted.route,
-                    kept_engines.make_rule(limits, is_kept_out=False),
+                    self._rule(limits, decision.Engines.ANY),
                 )
             )
             if not may_wait or isinstance(placed, placement_module.Placement):
@@ -145,7 +145,7 @@
             admitted.service,
             times,
             excluded,
-            kept_engines.make_rule(limits, is_kept_out=False),
+            self._rule(limits, decision.Engines.ANY),
         )
         if idle is None:
             return None
@@ -165,7 +165,6 @@
         ) -> placement_module.Placement | None:
             now_s = self._loop.time()
             target_left_s = need.target_at_s - now_s
-            is_kept_out = engines is decision.Engines.NOT_KEPT
             return self._place(
                 times,
                 excluded | self._full_engines(now_s),
@@ -174,7 +173,7 @@
                     if target_left_s > need.idle_fastest_s
                     else route
                 ),
-                kept_engines.make_rule(limits, is_kept_out=is_kept_out),
+                self._rule(limits, engines),
             )
 
         return room_module.Waiter(
@@ -185,6 +184,15 @@
             place,
         )
 
+    def _rule(
+        self, limits: priorities.UrgentLimits, engines: decision.Engines
+    ) -> kept_engines.KeepRule:
+        return kept_engines.make_rule(
+            limits,
+            is_kept_out=engines is not decision.Engines.ANY,
+            spares_pauses=engines is decision.Engines.SPARING,
+        )
+
     def _full_engines(self, now_s: float) -> frozenset[ids.EndpointId]:
         return frozenset(
             endpoint_id
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -60,6 +60,9 @@
 SHORT_OUTSIDE_SET_COST: Final = 0.05
 # Cost of placing a long prompt on an engine reserved for short prompts.
 LONG_INSIDE_SET_COST: Final = 2.0
+# The same in a pool with priority classes, if the part of the prompt leaves
+# short prompts enough time.
+GENTLE_INSIDE_SET_COST: Final = 0.3
 # Cost for a short prompt if all slots of an engine are taken; proportional to
 # the share of slots taken.
 OCCUPANCY_COST: Final = 0.04
@@ -117,12 +120,19 @@
         self, prefill_s: float, keep: kept_engines.KeepRule
     ) -> bool:
         """Returns whether the engine may prefill a part of a prompt."""
-        if not self.is_for_short_prompts:
-            return True
-        stall_s = (self.load.prefill_s + prefill_s) * self.slowdown
-        return stall_s + self.decode_pass_s <= keep.max_stall_s
+        return keep.allows(
+            self.load,
+            prefill_s * self.slowdown,
+            self.decode_pass_s,
+            is_kept=self.is_for_short_prompts,
+        )
 
-    def segregation_loss(self, is_short: bool) -> float:
+    def segregation_loss(
+        self,
+        is_short: bool,
+        prefill_s: float,
+        keep: kept_engines.KeepRule | None,
+    ) -> float:
         """Returns the loss that keeps short and long prompts apart."""
         if is_short:
             outside = (
@@ -131,7 +141,13 @@
             if not self.is_sampled:
                 outside += NOT_SAMPLED_COST
             return outside + OCCUPANCY_COST * self.load.running / self.slots
-        return LONG_INSIDE_SET_COST if self.is_for_short_prompts else 0.0
+        if not self.is_for_short_prompts:
+            return 0.0
+        if keep is not None and keep.is_gentle(
+            self.load, prefill_s * self.slowdown, self.decode_pass_s
+        ):
+            return GENTLE_INSIDE_SET_COST
+        return LONG_INSIDE_SET_COST
 
 
 def answer_value(prompt_tokens: int) -> float:
@@ -311,7 +327,7 @@
             if size > len(allowed):
                 continue
             placement = self._place_on(
-                size, allowed, prefill_s, request, route, times
+                size, allowed, prefill_s, request, route, times, keep
             )
             if placement is not None:
                 yield placement
@@ -376,6 +392,7 @@
         request: exchange.Request,
         route: routes.Route,
         times: routes.EngineTimes,
+        keep: kept_engines.KeepRule | None,
     ) -> Placement | None:
         value = answer_value(request.prompt_tokens)
         is_short = size == 1 and prefill_s <= MIN_SPLIT_PREFILL_S
@@ -410,7 +427,7 @@
                 losses.gap_loss(gap_s, candidate.load)
                 + value * losses.wait_loss(first_event_s, route.target_s)
                 + value * candidate.base_loss
-                + candidate.segregation_loss(is_short)
+                + candidate.segregation_loss(is_short, prefill_s, keep)
                 + PREFILL_DELAY_LOSS
                 * own_prefill_s
                 * candidate.load.prefill_urgency
@@ -438,7 +455,7 @@
                 candidate.load.prefill_s + prefill_s
             ) * candidate.slowdown + candidate.decode_pass_s
             loss += losses.gap_loss(gap_s, candidate.load)
-            loss += candidate.segregation_loss(is_short)
+            loss += candidate.segregation_loss(is_short, prefill_s, keep)
         loss += value * chosen[0].base_loss
         for candidate in chosen[1:]:
             loss += value * candidate.base_loss * HELPER_FAILURE_SHARE
--- a/packages/galenaquay/galenaquay/routing/short_set.py
+++ b/packages/galenaquay/galenaquay/routing/short_set.py
@@ -23,22 +23,35 @@
 _NO_LOAD: Final = workload.EndpointLoad()
 # Share of the slots of the selected engines that requests are to occupy.
 TARGET_OCCUPANCY: Final = 0.7
+# The same in a pool with priority classes, where requests that are not counted
+# may take further slots.
+URGENT_OCCUPANCY: Final = 0.6
 # Smallest and largest share of a zone's engines that is selected.
 MIN_SET_SHARE: Final = 0.3
 MAX_SET_SHARE: Final = 0.67
+# Longest prefill of a prompt that counts as short, in seconds.
+SHORT_PREFILL_S: Final = 0.06
 
 
 def _hash_of(endpoint: directory.Endpoint) -> int:
     return xxhash.xxh64_intdigest(endpoint.id.encode())
 
 
-def _decoding_within(load: workload.EndpointLoad, pause_s: float) -> int:
-    """Counts decoding requests whose callers accept no longer pause."""
-    return sum(
+def _count_urgent(load: workload.EndpointLoad, pause_s: float) -> int:
+    """Counts the requests that are likely to be short and urgent.
+
+    These are decoding requests whose callers accept no longer pause, and
+    requests before their first event if the pending prefill is short.
+    """
+    decoding = sum(
         group.count
         for group in load.decoding_groups
         if group.max_gap_s <= pause_s
     )
+    prefilling = max(0, load.running - load.decoding)
+    if load.prefill_s > prefilling * SHORT_PREFILL_S:
+        prefilling = 0
+    return decoding + prefilling
 
 
 def engines_for_short_prompts(
@@ -65,11 +78,14 @@
         running += (
             load.running
             if first_class_pause_s is None
-            else _decoding_within(load, first_class_pause_s)
+            else _count_urgent(load, first_class_pause_s)
         )
     if not engines:
         return frozenset()
-    needed = (running + 1) / (slots * TARGET_OCCUPANCY)
+    occupancy = (
+        TARGET_OCCUPANCY if first_class_pause_s is None else URGENT_OCCUPANCY
+    )
+    needed = (running + 1) / (slots * occupancy)
     share = min(MAX_SET_SHARE, max(MIN_SET_SHARE, needed / engines))
     selected: set[ids.EndpointId] = set()
     zones = sorted(endpoints_by_zone)
--- a/packages/galenaquay/galenaquay/waiting/decision.py
+++ b/packages/galenaquay/galenaquay/waiting/decision.py
@@ -10,10 +10,17 @@
 # first event while the request can still wait for a better one.
 SAFE_SHARE: Final = 0.85
 
+# Share of the time to its latest start for which a request avoids pauses in
+# the answers of all others.
+SPARING_SHARE: Final = 0.6
+
 
 class Engines(enum.Enum):
     """The engines that a request may use now."""
 
+    # As `NOT_KEPT`, and only engines on which the prefill causes no pause that
+    # is too long for the callers of other requests.
+    SPARING = 'sparing'
     # Not those that are kept for short prompts of more urgent classes, except
     # for parts that do not delay these prompts too long.
     NOT_KEPT = 'not kept'
@@ -54,11 +61,15 @@
     """Returns the engines that a request may use now."""
     if not need.priority_class or has_aged(need, now_s):
         return Engines.ANY
+    start_s = need.limit_start_s
     if now_s <= need.last_target_start_s:
-        is_due = now_s >= need.target_start_s
-    else:
-        is_due = now_s >= need.limit_start_s
-    return Engines.ANY if is_due else Engines.NOT_KEPT
+        start_s = need.target_start_s
+    if now_s >= start_s:
+        return Engines.ANY
+    sparing_s = (start_s - need.arrived_at_s) * SPARING_SHARE
+    if now_s < need.arrived_at_s + sparing_s:
+        return Engines.SPARING
+    return Engines.NOT_KEPT
 
 
 def decide(
--- a/packages/galenaquay/galenaquay/waiting/order.py
+++ b/packages/galenaquay/galenaquay/waiting/order.py
@@ -41,9 +41,8 @@
     @property
     def target_start_s(self) -> float:
         """The latest start that meets the target, with a margin."""
-        return self.target_at_s - (
-            self.idle_first_event_s * ESTIMATE_FACTOR + EARLIER_S
-        )
+        first_event_s = (self.idle_first_event_s + self.idle_fastest_s) / 2
+        return self.target_at_s - (first_event_s * ESTIMATE_FACTOR + EARLIER_S)
 
     @property
     def last_target_start_s(self) -> float:
--- a/packages/galenaquay/galenaquay/waiting/room.py
+++ b/packages/galenaquay/galenaquay/waiting/room.py
@@ -182,7 +182,7 @@
             is_behind=is_behind,
         )
         waiter.tries += 1
-        waiter.reason = decided.reason
+        waiter.reason = decided.reason or waiter.reason
         waiter.first_event_s = placement.first_event_s if placement else None
         if decided.action is decision.Action.PLACE and placement is not None:
             return placement
