Test waiting requests in simulated time

Cause: the queue, its order and its decisions had no tests. Seen failing: order without the class, decisions without kept engines, a queue that keeps requests of callers that left, rounds that place several, no bounds.

--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -47,6 +47,12 @@
       | plain_services_without_classes | Priorities of routes to plain services           |
       | priority_header      | Priority classes in requests to engines                    |
       | waiting_sums         | Waiting requests of which sixty VMs report                 |
+      | waiting_order        | The order of waiting requests                              |
+      | waiting_decision     | Placing, waiting and rejecting                             |
+      | waiting_room         | Requests that wait at a VM                                 |
+      | waiting_bounds       | More waiting requests than a VM holds                      |
+      | memory_and_outcomes  | Requests that wait for the memory of four engines          |
+      | wave_of_long_prompts | A wave of long prompts before 69 engines                   |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -17,6 +17,7 @@
 from tests.properties import priority_properties
 from tests.properties import quarantine_properties
 from tests.properties import sharing_properties
+from tests.properties import waiting_properties
 
 PROPERTY_MODULES = (
     availability_properties,
@@ -27,6 +28,7 @@
     priority_properties,
     quarantine_properties,
     sharing_properties,
+    waiting_properties,
 )
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 PRODUCT = ROOT / 'packages' / 'galenaquay' / 'galenaquay'
@@ -62,9 +64,16 @@
     'outcomes/forwarding',
     'outcomes/forwarding_attempt',
     'outcomes/journeys',
+    'outcomes/placing',
     'outcomes/refusals',
+    'waiting/decision',
+    'waiting/order',
+    'waiting/room',
     'waiting/sums',
+    'routing/kept_engines',
+    'routing/losses',
     'routing/placement',
+    'routing/short_set',
     'routing/step_times',
     'limits/attempt_budget',
     'limits/availability',
--- a/tests/properties/simulated_pool.py
+++ b/tests/properties/simulated_pool.py
@@ -468,8 +468,18 @@
 
 def run(simulate):
     """Runs a coroutine function in simulated time; returns its result."""
+
+    async def run_and_end():
+        try:
+            return await simulate()
+        finally:
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+
     loop = memory_properties.SimulatedTimeLoop()
     try:
-        return loop.run_until_complete(simulate())
+        return loop.run_until_complete(run_and_end())
     finally:
         loop.close()
