--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -52,6 +52,7 @@
       | waiting_room         | Requests that wait at a VM                                 |
       | waiting_bounds       | More waiting requests than a VM holds                      |
       | memory_and_outcomes  | Requests that wait for the memory of four engines          |
+      | refused_memory       | Prompts of two VMs that choose the same memory             |
       | wave_of_long_prompts | A wave of long prompts before 69 engines                   |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
