--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -21,6 +21,7 @@
 from ..ports import exchange
 from . import response_ends as response_ends_module
 from ..routing import placement as placement_module
+from ..waiting import room as room_module
 
 
 class Lifetime:
@@ -81,3 +82,5 @@
     response_ends: response_ends_module.ResponseEnds
     # Gets the present loads of endpoints, or gives up soon.
     refresh_loads: Callable[[], Awaitable[None]]
+    # The requests that wait for capacity.
+    room: room_module.Room
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -58,6 +58,13 @@
       | ends_at_one_moment   | Responses that an endpoint which leaves closes together    |
       | runs_by_list         | An endpoint without a report that is listed anew           |
       | run_reports          | Answers to a read of an endpoint's report                  |
+      | waiting_order        | The order of waiting requests                              |
+      | waiting_decision     | Placing, waiting and rejecting                             |
+      | waiting_room         | Requests that wait at a VM                                 |
+      | waiting_bounds       | More waiting requests than a VM holds                      |
+      | memory_and_outcomes  | Requests that wait for the memory of four engines          |
+      | refused_memory       | Prompts of two VMs that choose the same memory             |
+      | wave_of_long_prompts | A wave of long prompts before 69 engines                   |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -19,6 +19,7 @@
 from tests.properties import quarantine_properties
 from tests.properties import sharing_properties
 from tests.properties import trial_properties
+from tests.properties import waiting_properties
 
 PROPERTY_MODULES = (
     availability_properties,
@@ -31,6 +32,7 @@
     quarantine_properties,
     sharing_properties,
     trial_properties,
+    waiting_properties,
 )
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 PRODUCT = ROOT / 'packages' / 'galenaquay' / 'galenaquay'
@@ -70,10 +72,17 @@
     'outcomes/forwarding_attempt',
     'outcomes/journeys',
     'outcomes/quarantine_check',
+    'outcomes/placing',
     'outcomes/refusals',
+    'waiting/decision',
+    'waiting/order',
+    'waiting/room',
     'waiting/sums',
     'outcomes/response_ends',
+    'routing/kept_engines',
+    'routing/losses',
     'routing/placement',
+    'routing/short_set',
     'routing/step_times',
     'limits/attempt_budget',
     'limits/availability',
