Serve callers' connections to their last byte

Change: a response is open until the caller's host has acknowledged its last byte (transport buffer and SIOCOUTQ; duplicates of closed sockets are kept for this). Heads are written and read byte for byte. HTTP/1.0 streams end with their connection, by a reset if they break off. Hosts are compared without port and case.

The stand-in engine sends an optional raw header, and sees a disconnect during the pause before an event rather than after it.

--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -89,6 +89,8 @@
         self.event_delay_s = 0.0
         self.body = b'{"ok":true}'
         self.faults: list[engine_faults.Fault] = []
+        # Bytes of one more header in responses, without the line break.
+        self.raw_header = b''
         # Number of bytes of the head sent by `Fault.PARTIAL_HEAD`.
         self.head_bytes = 0
         # Size of the whole head of that response.
@@ -371,7 +373,10 @@
             lines.append('Content-Encoding: gzip')
         lines.append('X-Engine-Load: 1,0,8')
         lines += self._notice_lines()
-        return '\r\n'.join(lines).encode() + raw_responses.HEAD_END
+        head = '\r\n'.join(lines).encode()
+        if self.raw_header:
+            head += b'\r\n' + self.raw_header
+        return head + raw_responses.HEAD_END
 
     async def _send_without_end(
         self,
@@ -480,7 +485,7 @@
                 return False
             writer.write(raw_responses.chunk(event) if is_chunked else event)
             await writer.drain()
-            await asyncio.sleep(self.event_interval_s)
+            await asyncio.wait([disconnect], timeout=self.event_interval_s)
             if disconnect.done():
                 request.client_disconnected = True
                 return False
--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -15,6 +15,7 @@
 
 from ..engines import directory
 from ..ports import exchange
+from . import raw_heads
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for connecting to an endpoint, in seconds.
@@ -211,7 +212,7 @@
                 exchange.Failure.BROKEN, 'closed without an answer'
             )
         headers = [
-            (name.decode('latin-1'), value.decode('latin-1'))
+            (name.decode('latin-1'), raw_heads.decode(value))
             for name, value in event.headers.raw_items()
         ]
         head = self._codec.decode(request, event.status_code, headers)
@@ -231,9 +232,9 @@
         head = parser.send(
             h11.Request(
                 method=request.method.encode('latin-1'),
-                target=request.target.encode('latin-1'),
+                target=raw_heads.encode(request.target),
                 headers=[
-                    (name.encode('latin-1'), value.encode('latin-1'))
+                    (name.encode('latin-1'), raw_heads.encode(value))
                     for name, value in headers
                 ],
             )
--- a/packages/galenaquay/galenaquay/adapters/forward_front.py
+++ b/packages/galenaquay/galenaquay/adapters/forward_front.py
@@ -4,6 +4,7 @@
 import logging
 from typing import Final, Protocol
 
+from aiohttp import http
 from aiohttp import web
 
 from ..configuration import current as current_module
@@ -53,9 +54,15 @@
     is_started: bool
 
     def __init__(
-        self, request: web.BaseRequest, closes_connection: bool
+        self,
+        request: web.BaseRequest,
+        connection: timed_connections.TimedConnection,
+        closes_connection: bool,
     ) -> None:
         self.is_started = False
+        self._connection = connection
+        # Whether the end of the connection marks the end of the response.
+        self._ends_with_connection = False
         self._request = request
         self._closes_connection = closes_connection
         self._response: web.StreamResponse | None = None
@@ -72,13 +79,22 @@
         if self._closes_connection:
             response.force_close()
         self._response = response
+        self._connection.begin_response()
         return response
 
     async def start(self, head: exchange.Head) -> None:
-        """Sends status and headers of a response in chunked encoding."""
+        """Sends status and headers of a response of unknown length.
+
+        The body is sent in chunked encoding, or to a client of HTTP/1.0 until
+        the end of its connection.
+        """
         self.is_started = True
         response = self._prepare(head)
-        response.enable_chunked_encoding()
+        if self._request.version >= http.HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            self._ends_with_connection = True
+            response.force_close()
         await response.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
@@ -93,8 +109,10 @@
 
     def abort(self) -> None:
         """Aborts the connection, so that the response is seen as truncated."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        if self._ends_with_connection:
+            self._connection.reset()
+        else:
+            self._connection.abort()
 
     async def send_whole(self, head: exchange.Head, body: bytes) -> None:
         """Sends a complete response with a Content-Length."""
@@ -147,6 +165,16 @@
         self._forwarder = forwarder
         self._current = current
         self._codec = codec
+        self._server: timed_connections.TimedServer | None = None
+
+    def open_responses(self) -> int:
+        """Returns how many callers have no whole response yet.
+
+        A response is open until the caller's connection has taken its last
+        byte, as far as the kernel tells.
+        """
+        unsent = 0 if self._server is None else self._server.unsent_responses()
+        return self.in_progress + unsent
 
     def _limits(self) -> routes.RequestLimits:
         table = self._current.table
@@ -154,7 +182,7 @@
 
     def server(self) -> web.Server:
         """Returns the server for callers' connections."""
-        return timed_connections.TimedServer(
+        self._server = timed_connections.TimedServer(
             self._handle,
             self._limits,
             access_log=None,
@@ -162,13 +190,14 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
+        return self._server
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         received_s = asyncio.get_running_loop().time()
-        writer = HttpResponseWriter(request, self.is_closing)
         connection = request.protocol
         assert isinstance(connection, timed_connections.TimedConnection)
-        connection.begin_request()
+        writer = HttpResponseWriter(request, connection, self.is_closing)
+        connection.begin_request(request)
         self.in_progress += 1
         try:
             await self._serve(request, writer, received_s)
--- a/packages/galenaquay/galenaquay/configuration/routes.py
+++ b/packages/galenaquay/galenaquay/configuration/routes.py
@@ -138,19 +138,31 @@
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route whose prefix is the longest match for the path."""
-        for route in self.routes_by_host.get(host, ()):
+        for route in self.routes_by_host.get(host_name(host), ()):
             if path.startswith(route.prefix):
                 return route
         return None
 
 
+def host_name(host: str) -> str:
+    """Returns the host name of a Host header, in lower case.
+
+    A port is dropped (RFC 9110, section 4.2.3, and RFC 9112, section 3.2);
+    other texts that are not part of a host name are kept.
+    """
+    name, colon, port = host.rpartition(':')
+    # An IPv6 address without a port ends with a bracket.
+    is_port = bool(colon) and (port.isdecimal() or not port)
+    return (name if is_port else host).lower()
+
+
 def routes_by_host(
     routes: Iterable[Route],
 ) -> dict[str, tuple[Route, ...]]:
     """Groups routes by host, in order of descending prefix length."""
     grouped: dict[str, list[Route]] = {}
     for route in routes:
-        grouped.setdefault(route.host, []).append(route)
+        grouped.setdefault(host_name(route.host), []).append(route)
     return {
         host: tuple(sorted(group, key=lambda route: -len(route.prefix)))
         for host, group in grouped.items()
