Check a configuration as the entries do

Cause: `galenaquayctl config check` read only documents of the product's own form, and told neither the place of an error nor what has no effect. The users' configuration could not be checked before it was published.

Change: the command finds the form of a file among modules with a `FORMAT` (`galenaquayctl.config_formats`): `galenaquay.document_format`, and `galenaquay_platform.config_format` where it is installed. Both use the parser of the entries; the platform's names stay in platform/. Errors have a place; warnings name what never matches and limits that contradict each other (`configuration.table_checks`); `--against` and `--entry` add what changes (`configuration.table_changes`). Exit status 0, 1, 2; `--in-force` still works and means `--against`. The entries' parser also refuses numbers that overflow.

Tests: config_check.feature, 38 scenarios, two of them hypothesis properties (150 configurations each, edited at random): entries accept and serve by what the check passes, and the check names what they refuse.

The layer check also covers the new modules of callers' connections.

Not checked: a hedge limit over the retry budget, as there is none yet.

--- a/packages/galenaquayctl/galenaquayctl/config_commands.py
+++ b/packages/galenaquayctl/galenaquayctl/config_commands.py
@@ -6,7 +6,7 @@
 import difflib
 import pathlib
 import sys
-from typing import Any, Final
+from typing import Any
 
 from galenaquay.configuration import documents
 from galenaquay.configuration import versions
@@ -15,47 +15,16 @@
 import orjson
 import yaml
 
+from . import check_command
 from . import exits
 
-_DOCUMENT_ARGUMENT: Final = click.argument(
-    'path', type=click.Path(path_type=pathlib.Path, exists=True)
-)
-
 
 @click.group()
 def config() -> None:
     """Checks, describes and compares configurations."""
 
 
-@config.command(epilog='Example: galenaquayctl config check next.yaml')
-@_DOCUMENT_ARGUMENT
-@click.option(
-    '--in-force',
-    type=click.Path(path_type=pathlib.Path, exists=True),
-    help='The document in force, to tell whether this one would be accepted.',
-)
-def check(path: pathlib.Path, in_force: pathlib.Path | None) -> None:
-    """Tells whether every entry would accept a document.
-
-    Exits with 0 if it would be accepted, 1 if its version does not rise, and
-    2 if it is refused.
-    """
-    document = _load(path)
-    if in_force is None:
-        click.echo(f'{path}: version {document.version} is acceptable')
-        return
-    current = _load(in_force)
-    decision = versions.decide(
-        documents.Document,
-        current,
-        _read_as_json(in_force),
-        _read_as_json(path),
-    )
-    click.echo(f'{path}: {decision.verdict.value} {decision.reason}'.rstrip())
-    if decision.verdict is versions.Verdict.REFUSED:
-        sys.exit(exits.Exit.INVALID)
-    if decision.verdict is not versions.Verdict.ACCEPTED:
-        sys.exit(exits.Exit.NEGATIVE)
+config.add_command(check_command.check)
 
 
 @config.command(epilog='Example: galenaquayctl config schema > schema.json')
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -10,6 +10,7 @@
 from galenaquay_platform import orders
 from galenaquay_platform import serve
 from tests.properties import availability_properties
+from tests.properties import config_properties
 from tests.properties import document_properties
 from tests.properties import fleet_properties
 from tests.properties import memory_properties
@@ -19,6 +20,7 @@
 
 PROPERTY_MODULES = (
     availability_properties,
+    config_properties,
     document_properties,
     fleet_properties,
     memory_properties,
@@ -48,11 +50,15 @@
     ('galenaquayctl/clients.py', headers.TIME_LEFT_MS),
 }
 REQUEST_MODULES = (
+    'adapters/closing_sockets',
     'adapters/exchange_http',
     'adapters/fleet_grpc',
     'adapters/fleet_messages',
     'adapters/forward_front',
+    'adapters/half_closed',
     'adapters/mirror_grpc',
+    'adapters/raw_heads',
+    'adapters/socket_state',
     'adapters/timed_connections',
     'outcomes/admission',
     'outcomes/dependencies',
