--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -373,7 +373,8 @@
             lines.append('Content-Encoding: gzip')
         lines.append('X-Engine-Load: 1,0,8')
         lines += self._notice_lines()
-        head = '\r\n'.join(lines).encode()
+        # Header values of requests are repeated byte for byte.
+        head = '\r\n'.join(lines).encode('latin-1')
         if self.raw_header:
             head += b'\r\n' + self.raw_header
         return head + raw_responses.HEAD_END
--- a/packages/galenaquay/galenaquay/adapters/logs.py
+++ b/packages/galenaquay/galenaquay/adapters/logs.py
@@ -33,9 +33,11 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Writes one record as a line, or counts the line as dropped."""
         try:
-            line = self.format(record).encode() + b'\n'
+            line = self._format_line(record)
         except (TypeError, ValueError):
-            self.handleError(record)
+            # The default handling would write to the standard error output,
+            # which may block.
+            self.dropped += 1
             return
         try:
             if self._unwritten:
@@ -49,6 +51,30 @@
         except OSError:
             self.dropped += 1
 
+    def _format_line(self, record: logging.LogRecord) -> bytes:
+        try:
+            return self.format(record).encode() + b'\n'
+        except (TypeError, ValueError):
+            # Texts of callers and endpoints may have bytes that are not UTF-8.
+            escaped = logging.makeLogRecord(
+                {
+                    name: _escape(value)
+                    for name, value in record.__dict__.items()
+                }
+            )
+            return self.format(escaped).encode() + b'\n'
+
+
+def _escape(value: object) -> object:
+    """Escapes bytes that are not UTF-8 in texts and in lists of texts."""
+    if isinstance(value, str):
+        return value.encode('utf-8', 'backslashreplace').decode()
+    if isinstance(value, list):
+        return [_escape(item) for item in value]
+    if isinstance(value, tuple):
+        return tuple(_escape(item) for item in value)
+    return value
+
 
 def start_logging(level: str, vm_id: str, zone: str) -> LineHandler:
     """Sends all logs to standard output, one JSON object per line."""
--- a/tests/features/caller_connections.feature
+++ b/tests/features/caller_connections.feature
@@ -107,3 +107,17 @@
     When the entry process gets SIGTERM
     Then the entry process exits with status 0
     And the entry process has logged no error
+
+  Scenario: A request id that is not UTF-8 is logged
+    When a request whose id is not UTF-8 is sent
+    Then the caller receives status 200
+    And the entry process has logged the request with id "x\udce9\udcff"
+    And the entry process has logged no error
+
+  Scenario: The ends of engines under a part that is not UTF-8 are reported
+    Given 2 additional engines
+    And each engine ends when it gets a part that is not UTF-8
+    When a second entry process starts
+    And 3 prompts with the part are sent one after the other
+    Then the second entry process blames the part
+    And the entry process has logged no error
--- a/tests/features/steps/platform_connection_steps.py
+++ b/tests/features/steps/platform_connection_steps.py
@@ -20,6 +20,8 @@
 WRITING_S = 0.7
 # Bytes that are neither ASCII nor, as a whole, UTF-8.
 ODD_VALUE = b'caf\xe9 \xc3\xa9 \xff\x80'
+# A part of prompts that is not UTF-8.
+ODD_PART = b'\xff\xe9'
 # Time in which a connection is closed that has nothing left to send.
 CLOSE_S = 0.5
 # Runs an entry process whose calls for the state of connections fail.
@@ -424,3 +426,69 @@
     log = platform_asking.fixture(context).log()
     assert '"level":"ERROR"' not in log, log
     assert 'Traceback' not in log, log
+
+
+@when('a request whose id is not UTF-8 is sent')
+def step_odd_id(context):
+    data = request_bytes('/once/x').replace(
+        b'X-Attempt-Id: 5f', b'X-Attempt-Id: x\xe9\xff'
+    )
+
+    async def run_step():
+        reader, writer = await connect(context)
+        writer.write(data)
+        async with asyncio.timeout(5.0):
+            raw = await reader.readuntil(b'\r\n\r\n')
+        assert b'X-Attempt-Id: x\xe9\xff\r\n' in raw, raw
+        status = int(raw.split(b' ')[1])
+        context.response = support.Response(status, {}, b'', True)
+        writer.transport.abort()
+
+    platform_asking.run(context, run_step())
+
+
+@then('the entry process has logged the request with id "{text}"')
+def step_odd_id_logged(context, text):
+    fixture = platform_asking.fixture(context)
+    escaped = text.replace('\\', '\\\\')
+    platform_asking.run(
+        context,
+        fixture.wait_until(
+            lambda: f'"request_id":"{escaped}"' in fixture.log(), 2.0
+        ),
+    )
+
+
+@given('each engine ends when it gets a part that is not UTF-8')
+def step_odd_deadly_part(context):
+    for engine in platform_asking.fixture(context).engines_by_name.values():
+        engine.deadly_part = ODD_PART.decode('latin-1')
+
+
+@when('{count:d} prompts with the part are sent one after the other')
+def step_odd_part(context, count):
+    line = b'X-Prompt-Prefix: ' + ODD_PART + b':10,ab:4990'
+
+    async def run_step():
+        # The VMs know each other.
+        await asyncio.sleep(1.0)
+        for _ in range(count):
+            reader, writer = await connect(context)
+            writer.write(request_bytes('/tell/x', odd_lines=[line]))
+            async with asyncio.timeout(5.0):
+                await reader.read(READ_BYTES)
+            writer.transport.abort()
+            await asyncio.sleep(0.3)
+
+    platform_asking.run(context, run_step())
+
+
+@then('the second entry process blames the part')
+def step_part_blamed(context):
+    fixture = platform_asking.fixture(context)
+    platform_asking.run(
+        context,
+        fixture.wait_until(
+            lambda: '"prompt parts blamed' in fixture.log(1), 3.0
+        ),
+    )
