--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -10,6 +10,7 @@
 from galenaquay_platform import orders
 from galenaquay_platform import serve
 from tests.properties import availability_properties
+from tests.properties import config_properties
 from tests.properties import document_properties
 from tests.properties import ends_properties
 from tests.properties import fleet_properties
@@ -23,6 +24,7 @@
 
 PROPERTY_MODULES = (
     availability_properties,
+    config_properties,
     document_properties,
     ends_properties,
     fleet_properties,
@@ -57,13 +59,17 @@
     ('galenaquayctl/clients.py', headers.TIME_LEFT_MS),
 }
 REQUEST_MODULES = (
+    'adapters/closing_sockets',
     'adapters/exchange_http',
     'adapters/fleet_grpc',
     'adapters/fleet_messages',
     'adapters/fleet_server',
     'adapters/forward_front',
+    'adapters/half_closed',
     'adapters/mirror_grpc',
     'adapters/run_checks',
+    'adapters/raw_heads',
+    'adapters/socket_state',
     'adapters/timed_connections',
     'adapters/trial_grpc',
     'outcomes/admission',
