--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -15,8 +15,8 @@
 
 from ..engines import directory
 from ..ports import exchange
-from . import run_checks
 from . import raw_heads
+from . import run_checks
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for connecting to an endpoint, in seconds.
