Send slow requests to a second endpoint

Cause: a request whose endpoint is slow waited for it until a timeout, also if the request may be repeated and another endpoint was free.

Change: outcomes/hedging.py learns from responses after which time a request is slow (a quantile by service, route and band of prompt lengths) and keeps the shares of hedges for the fleet and for an account, each VM for its own requests. outcomes/hedged_attempts.py runs both attempts; the one that claims the caller first in outcomes/attempt_race.py cancels the other.

--- a/packages/galenaquay/galenaquay/limits/attempt_budget.py
+++ b/packages/galenaquay/galenaquay/limits/attempt_budget.py
@@ -44,6 +44,10 @@
             INITIAL_RETRIES * 2, left + RETRIES_PER_REQUEST
         )
 
+    def left(self, service: ids.ServiceName) -> float:
+        """Returns the retries that the budget of a service contains."""
+        return self._refill(service)
+
     def spend(self, service: ids.ServiceName) -> bool:
         """Spends one retry; returns False if the budget is used up."""
         left = self._refill(service)
--- a/packages/galenaquay/galenaquay/limits/quarantine.py
+++ b/packages/galenaquay/galenaquay/limits/quarantine.py
@@ -144,6 +144,15 @@
             frozenset(),
         )
 
+    def is_suspected(self, part_ids: Iterable[ids.PromptPartId]) -> bool:
+        """Returns whether an engine has ended under a part of a prompt.
+
+        Ends that the part was cleared of do not count.
+        """
+        self._remove_outdated()
+        parts = map(self._parts_by_id.get, part_ids)
+        return any(part is not None and part.ends_by_run for part in parts)
+
     def blamed_count(self) -> int:
         """Returns the number of parts, or sets of parts, that are blamed."""
         self._remove_outdated()
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -12,6 +12,7 @@
 from ..engines import reliability as reliability_module
 from ..engines import usual_times as usual_times_module
 from ..engines import workload as workload_module
+from . import hedging as hedging_module
 from ..limits import attempt_budget
 from ..limits import availability as availability_module
 from ..limits import group_memory
@@ -19,6 +20,7 @@
 from ..limits import quarantine as quarantine_module
 from ..ports import exchange
 from ..routing import placement as placement_module
+from ..waiting import sums as sums_module
 
 
 class Lifetime:
@@ -77,3 +79,5 @@
     availability: availability_module.Availability
     # Gets the present loads of endpoints, or gives up soon.
     refresh_loads: Callable[[], Awaitable[None]]
+    waiting_sums: sums_module.WaitingSums
+    hedging: hedging_module.Hedging
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -31,6 +31,7 @@
             await self._refuse(request, writer, decision)
             return
         self._dependencies.budget.earn(decision.service.name)
+        self._dependencies.hedging.record_request(decision.account)
         await journeys.RequestForwarding(
             self._dependencies, decision, writer
         ).run()
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -12,6 +12,7 @@
 
 from .. import ids
 from . import admission
+from . import attempt_race
 from . import dependencies as dependencies_module
 from ..engines import workload as workload_module
 from ..limits import group_memory
@@ -85,6 +86,7 @@
 class ForwardingAttempt:
     """Sends a request to the endpoints of one placement."""
 
+    placement: placement_module.Placement
     # When the attempt began, on the clock of the quarantine.
     began_at_s: float
 
@@ -93,7 +95,10 @@
         dependencies: dependencies_module.Dependencies,
         forwarded: ForwardedRequest,
         placement: placement_module.Placement,
+        entrant: attempt_race.Entrant,
     ) -> None:
+        self.placement = placement
+        self._entrant = entrant
         self._dependencies = dependencies
         self._forwarded = forwarded
         self._admitted = forwarded.admitted
@@ -104,6 +109,10 @@
         self._loop = asyncio.get_running_loop()
         # When the request was sent, on the event loop's clock.
         self._sent_s = 0.0
+        # The timeout for the head while it is awaited, and when it expires as
+        # long as another attempt is allowed.
+        self._head_timeout: asyncio.Timeout | None = None
+        self._head_timeout_at_s: float | None = None
         self.began_at_s = dependencies.quarantine.now_s()
         # When the first event arrived.
         self._writing_since_s: float | None = None
@@ -130,6 +139,14 @@
             for endpoint_id, job in jobs:
                 self._dependencies.workload.remove(endpoint_id, job)
 
+    def update_timeout(self) -> None:
+        """Adapts the timeout to whether another attempt is allowed now."""
+        timeout = self._head_timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(
+                self._head_timeout_at_s if self._has_more_attempts() else None
+            )
+
     def _time_left_s(self) -> float:
         return self._admitted.deadline_s - self._loop.time()
 
@@ -231,7 +248,9 @@
         )
         timeout_s = self._first_byte_timeout_s()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
+                self._head_timeout_at_s = timeout.when()
+                self._head_timeout = timeout
                 response = await self._dependencies.exchange.send(
                     self._request, params
                 )
@@ -241,6 +260,8 @@
             raise AttemptFailedError(
                 exchange.SendError(exchange.Failure.TIMED_OUT, 'no answer')
             ) from None
+        finally:
+            self._head_timeout = None
         if isinstance(response, exchange.SendError):
             if response.notice is not None:
                 self._record_notice(response.notice, is_rejection=True)
@@ -317,10 +338,13 @@
             AttemptFailedError: The status is 5xx and the request may be sent
                 again.
         """
+        if response.head.status < 500:
+            self._entrant.claim()
         body = await _read_whole(response)
         await self._check_orderly_end(response)
         took_s = self._loop.time() - self._sent_s
         if response.head.status >= 500:
+            await self._entrant.wait_until_alone()
             self._forwarded.error_response = (response.head, body)
             self._dependencies.reliability.record_success(
                 self._placement.endpoint.id
@@ -336,6 +360,7 @@
                 )
         else:
             self._record_success(took_s)
+        self._entrant.claim()
         await self._writer.send_whole(response.head, body)
 
     def _record_success(self, took_s: float) -> None:
@@ -374,6 +399,7 @@
                 event_at_s = self._loop.time()
                 if not has_first_event:
                     has_first_event = True
+                    self._entrant.claim()
                     self._record_first_event(jobs)
                 else:
                     self._check_answered()
@@ -381,6 +407,7 @@
         if cutter.leftover():
             raise exchange.ExchangeBrokenError('ended inside an event')
         await self._check_orderly_end(response)
+        self._entrant.claim()
         if not self._writer.is_started:
             await self._writer.start(response.head)
         await self._writer.finish()
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -14,6 +14,7 @@
 from . import dependencies as dependencies_module
 from ..engines import directory as directory_module
 from . import forwarding_attempt
+from . import hedged_attempts
 from ..limits import quarantine as quarantine_module
 from ..ports import exchange
 from . import refusals
@@ -62,6 +63,9 @@
             event_relay.EventRelay(writer, admitted.request.last_event_id),
             self._loop.time(),
         )
+        self._attempts = hedged_attempts.HedgedAttempts(
+            dependencies, self._forwarded, self._handle_failure
+        )
 
     def _time_left_s(self) -> float:
         return self._admitted.deadline_s - self._loop.time()
@@ -111,18 +115,24 @@
         self._forwarded.attempts += 1
         self._dependencies.placer.note_sent(self._admitted.service, placement)
         self._log_placement(placement)
-        attempt = forwarding_attempt.ForwardingAttempt(
-            self._dependencies, self._forwarded, placement
-        )
         try:
-            status = await attempt.run()
+            status = await self._attempts.run(
+                placement, frozenset(self._excluded)
+            )
         except forwarding_attempt.AttemptFailedError as exc:
-            self._record_failure(placement, exc.error)
-            await self._check_ended(attempt, placement.endpoint, exc.error)
             return not await self._check_retry(exc.error)
         self._log_end('answered', status=status)
         return True
 
+    async def _handle_failure(
+        self,
+        attempt: forwarding_attempt.ForwardingAttempt,
+        error: exchange.SendError,
+    ) -> None:
+        """Records the failure of an attempt, and the end of its engine."""
+        self._record_failure(attempt.placement, error)
+        await self._check_ended(attempt, attempt.placement.endpoint, error)
+
     async def _refuse_quarantined(
         self, blamed: frozenset[ids.PromptPartId]
     ) -> None:
@@ -182,6 +192,8 @@
                 faulty_endpoint = helper
                 self._excluded.add(helper.id)
         is_rejected = error.failure is exchange.Failure.REJECTED
+        if is_rejected:
+            self._record_shortage()
         # An endpoint that asks for time is left out meanwhile, and no worse
         # than others afterwards.
         asks_for_time = error.notice is not None and error.notice.wait_s > 0
@@ -204,6 +216,11 @@
             },
         )
 
+    def _record_shortage(self) -> None:
+        self._dependencies.hedging.record_shortage(
+            self._admitted.service.name, self._admitted.priority_class
+        )
+
     async def _check_ended(
         self,
         attempt: forwarding_attempt.ForwardingAttempt,
@@ -297,6 +314,7 @@
             self._log_end('failed', status=status, reason=reason)
             return
         if retry_after_s is None:
+            self._record_shortage()
             retry_after_s = refusals.draw_retry_after_s(
                 self._dependencies.rng,
                 self._dependencies.availability.wait_s(
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -405,6 +405,10 @@
             * chosen[0].decode_pass_s,
         )
 
+    def is_cold(self, endpoint: directory_module.Endpoint) -> bool:
+        """Returns whether an endpoint is in cold start."""
+        return self._directory.is_cold(endpoint)
+
     def note_sent(self, service: routes.Service, placement: Placement) -> None:
         """Counts a sent request against the limits of its endpoints.
 
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -47,6 +47,22 @@
       | plain_services_without_classes | Priorities of routes to plain services           |
       | priority_header      | Priority classes in requests to engines                    |
       | waiting_sums         | Waiting requests of which sixty VMs report                 |
+      | hedges_within_share  | Hedges of eight VMs that know nothing of each other        |
+      | hedges_use_share     | A share of hedges that is used up                          |
+      | hedge_obstacles      | Reasons against a hedge                                    |
+      | hedging_is_off       | Hedging without limits in the settings                     |
+      | hedge_delay          | The time after which a request is slow                     |
+      | hedge_kinds          | Requests that are not similar                              |
+      | hedge_delay_follows  | Response times that become longer or shorter               |
+      | hedge_delay_keeps    | Response times of requests that were hedged                |
+      | hedge_one_run        | Two attempts that run at the same time                     |
+      | hedge_wins           | A hedge that answers first                                 |
+      | hedge_loses          | A hedge that answers last                                  |
+      | hedge_fails          | A hedge that fails                                         |
+      | hedge_after_failure  | A first attempt that fails beside its hedge                |
+      | hedge_error_responses | Two attempts that get error responses                     |
+      | no_hedge             | Requests that must not be hedged                           |
+      | hedge_long_prompts   | Hedges of long prompts                                     |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -12,6 +12,8 @@
 from tests.properties import availability_properties
 from tests.properties import document_properties
 from tests.properties import fleet_properties
+from tests.properties import hedged_attempt_properties
+from tests.properties import hedging_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
 from tests.properties import priority_properties
@@ -22,6 +24,8 @@
     availability_properties,
     document_properties,
     fleet_properties,
+    hedged_attempt_properties,
+    hedging_properties,
     memory_properties,
     path_properties,
     priority_properties,
@@ -58,9 +62,13 @@
     'adapters/mirror_grpc',
     'adapters/timed_connections',
     'outcomes/admission',
+    'outcomes/attempt_race',
     'outcomes/dependencies',
     'outcomes/forwarding',
     'outcomes/forwarding_attempt',
+    'outcomes/hedge_placement',
+    'outcomes/hedged_attempts',
+    'outcomes/hedging',
     'outcomes/journeys',
     'outcomes/refusals',
     'waiting/sums',
