--- a/packages/galenaquay/galenaquay/outcomes/attempt_race.py
+++ b/packages/galenaquay/galenaquay/outcomes/attempt_race.py
@@ -7,6 +7,8 @@
 import asyncio
 from collections.abc import Callable
 
+from ..ports import exchange
+
 
 class LostRaceError(Exception):
     """Another attempt answers the caller."""
@@ -17,9 +19,9 @@
 
     def __init__(self, race: 'AttemptRace') -> None:
         self._race = race
-        # Whether the attempt has got an error response, which the caller gets
-        # only if no other attempt has a better one.
-        self.has_error_response = False
+        # An error response that the attempt has got. The caller gets it only
+        # if no other attempt has a better one.
+        self.error_response: tuple[exchange.Head, bytes] | None = None
         # Whether the attempt waits for the others because of that.
         self.is_holding = False
 
@@ -37,13 +39,12 @@
         """Removes an attempt that has ended."""
         self._race.remove(self)
 
-    async def wait_until_alone(self) -> None:
-        """Waits until no other attempt may get a better response.
+    async def hold(self, head: exchange.Head, body: bytes) -> None:
+        """Holds an error response back until no other attempt may be better.
 
-        Called by an attempt that has an error response. The last attempt to
-        call this does not wait.
+        The last attempt to call this does not wait.
         """
-        self.has_error_response = True
+        self.error_response = (head, body)
         self.is_holding = True
         while self._race.has_others(self):
             await self._race.wait_for_change()
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -36,6 +36,9 @@
 # callers accept, but at least a minimum in seconds.
 STALL_TIMEOUT_FACTOR: Final = 6.0
 MIN_STALL_TIMEOUT_S: Final = 1.7
+# Interval between checks of whether a silent stream has an attempt left again
+# after a hedge that was not sent, in seconds.
+RECHECK_S: Final = 0.25
 # Maximum size of a response that is not a stream, in bytes. Such a response is
 # kept in memory until it is complete.
 MAX_WHOLE_RESPONSE_BYTES: Final = 4 * 1024 * 1024
@@ -109,8 +112,7 @@
         self._loop = asyncio.get_running_loop()
         # When the request was sent, on the event loop's clock.
         self._sent_s = 0.0
-        # The timeout for the head while it is awaited, and when it expires as
-        # long as another attempt is allowed.
+        # The timeout for the head, and when it expires if it is in effect.
         self._head_timeout: asyncio.Timeout | None = None
         self._head_timeout_at_s: float | None = None
         self.began_at_s = dependencies.quarantine.now_s()
@@ -344,7 +346,7 @@
         await self._check_orderly_end(response)
         took_s = self._loop.time() - self._sent_s
         if response.head.status >= 500:
-            await self._entrant.wait_until_alone()
+            await self._entrant.hold(response.head, body)
             self._forwarded.error_response = (response.head, body)
             self._dependencies.reliability.record_success(
                 self._placement.endpoint.id
@@ -472,8 +474,8 @@
         read_task = asyncio.ensure_future(_read_next(body))
         try:
             await asyncio.wait([read_task], timeout=timeout_s)
-            if not read_task.done() and not self._has_more_attempts():
-                await asyncio.wait([read_task])
+            while not read_task.done() and not self._has_more_attempts():
+                await asyncio.wait([read_task], timeout=RECHECK_S)
             if read_task.done():
                 return read_task.result()
         finally:
--- a/packages/galenaquay/galenaquay/outcomes/hedged_attempts.py
+++ b/packages/galenaquay/galenaquay/outcomes/hedged_attempts.py
@@ -187,6 +187,7 @@
             # this task has been told of that.
             status = self._find_status()
             if status is None:
+                self._keep_error_response()
                 raise
             return status
         finally:
@@ -230,6 +231,15 @@
                 return task.result()
         return None
 
+    def _keep_error_response(self) -> None:
+        """Keeps a response that was held back, for the end of the request."""
+        for contender in self._contenders():
+            if self._race.winner is None and contender.entrant.error_response:
+                self._forwarded.error_response = (
+                    contender.entrant.error_response
+                )
+                return
+
     def _took_s(self, contender: _Contender) -> float:
         return self._loop.time() - contender.started_s
 
@@ -288,7 +298,7 @@
                 contender.task.cancel()
         if not self._claimed.done():
             self._claimed.set_result(None)
-        if not entrant.has_error_response:
+        if entrant.error_response is None:
             self._learn_duration()
         self._learns = False
         if self._hedge is None or self._hedge.has_failed:
@@ -434,7 +444,8 @@
         took_s = self._took_s(self._hedge)
         wasted_s = took_s
         if outcome == 'won':
-            wasted_s = self._took_s(self._first)
+            is_wasted = not self._first.has_failed
+            wasted_s = self._took_s(self._first) if is_wasted else 0.0
         self._dependencies.metrics.count('hedges_ended', outcome=outcome)
         self._dependencies.metrics.observe('hedge_wasted_seconds', wasted_s)
         LOG.info(
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -59,6 +59,7 @@
       | hedge_wins           | A hedge that answers first                                 |
       | hedge_loses          | A hedge that answers last                                  |
       | hedge_fails          | A hedge that fails                                         |
+      | unsent_hedge         | A hedge for which there is no connection                   |
       | hedge_after_failure  | A first attempt that fails beside its hedge                |
       | hedge_error_responses | Two attempts that get error responses                     |
       | no_hedge             | Requests that must not be hedged                           |
--- a/tests/properties/hedged_attempt_properties.py
+++ b/tests/properties/hedged_attempt_properties.py
@@ -136,6 +136,25 @@
                 assert {number for number, _ in case.writer.pieces} == {0}
 
 
+def check_unsent_hedge():
+    """A hedge that was not sent leaves the first attempt its timeout.
+
+    The hedge runs while the time for the first event passes. Guards against a
+    first attempt that then waits until the end of the request's time.
+    """
+    case = play(
+        [
+            Plan(piece_s=9.0),
+            Plan(head_s=2.4, failure=exchange.Failure.NOT_SENT),
+            Plan(),
+        ],
+        is_stream=True,
+    )
+    assert len(case.exchange.runs) == 3
+    assert case.writer.status == 200
+    assert {number for number, _ in case.writer.pieces} == {2}
+
+
 def check_hedge_after_failure():
     """If the first attempt fails, the request waits for the hedge.
 
@@ -176,7 +195,8 @@
 def check_hedge_error_responses():
     """An endpoint's error is given to the caller only if both have none.
 
-    Guards against two attempts that wait for each other's better response.
+    Guards against two attempts that wait for each other's better response,
+    and against an error response that is lost when the time is over.
     """
     case = play([Plan(head_s=0.2, status=500), Plan(head_s=0.3, status=500)])
     assert case.writer.status == 500
@@ -184,6 +204,9 @@
     case = play([Plan(head_s=0.2, status=500), Plan(head_s=0.3)])
     assert case.writer.pieces[0][0] == 1
     assert case.writer.status == 200
+    # The hedge does not respond within the request's time.
+    case = play([Plan(head_s=0.2, status=500), Plan(head_s=9.0)])
+    assert case.writer.status == 500
 
 
 def check_no_hedge():
