--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -32,6 +32,7 @@
 from ..limits import named_limits as named_limits_module
 from ..limits import orphaned_memory
 from ..limits import quarantine as quarantine_module
+from . import member_lists
 from ..membership import fleet as fleet_module
 from ..membership import hedging
 from ..membership import revisions as revisions_module
@@ -55,11 +56,6 @@
 MESH_REPORTS_PER_S: Final = 40.0
 # Interval between reports to one hub, in seconds.
 HUB_INTERVAL_S: Final = 0.5
-# Shortest time between two lists of the members in a hub's replies to one VM
-# that knows other members, and longest time if it knows the same, in seconds.
-# The lists also tell that members are alive.
-MEMBER_LIST_MIN_INTERVAL_S: Final = 0.4
-MEMBER_LIST_MAX_INTERVAL_S: Final = 2.5
 # A VM asks the other hub of its zone for the loads if the preferred one has
 # not replied for this time, in seconds.
 HUB_SILENCE_S: Final = 0.75
@@ -127,10 +123,9 @@
         self._last_number_by_process: dict[tuple[ids.VmId, int], int] = {}
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
         self._reply_loads = reply_loads.ReplyLoads(workload, workload.now_s)
-        # When each VM has last replied, by its address, and when a reply has
-        # last listed the members to it.
+        self._member_lists = member_lists.MemberLists(fleet, workload.now_s)
+        # When each VM has last replied, by its address.
         self._replied_at_s: dict[str, float] = {}
-        self._listed_at_s: dict[ids.VmId, float] = {}
         # When a hub of this zone has last told the loads of other VMs.
         self._loads_at_s = float('-inf')
         self._loads_told = asyncio.Event()
@@ -466,7 +461,7 @@
             sender=fleet_messages.member_message(self._fleet.me),
             members=map(
                 fleet_messages.gossip_entry_message,
-                self._listed_members(sender, report.members_digest),
+                self._member_lists.list_for(sender, report.members_digest),
             ),
             loads=self._loads_for(sender, report),
             config_version=table.version if table is not None else 0,
@@ -487,25 +482,6 @@
             waiting=self._waiting_for(sender, report),
         )
 
-    def _listed_members(
-        self, receiver: fleet_module.Member, known_digest: int
-    ) -> list[fleet_module.GossipEntry]:
-        """Returns the members that a reply lists.
-
-        Args:
-            receiver: The member that receives the reply.
-            known_digest: The digest of the members that it knows.
-        """
-        now_s = self._workload.now_s()
-        listed_at_s = self._listed_at_s.get(receiver.vm_id, float('-inf'))
-        interval_s = MEMBER_LIST_MIN_INTERVAL_S
-        if known_digest == self._fleet.members_digest():
-            interval_s = MEMBER_LIST_MAX_INTERVAL_S
-        if not self._fleet.is_mesh() and now_s - listed_at_s < interval_s:
-            return []
-        self._listed_at_s[receiver.vm_id] = now_s
-        return self._fleet.gossip_entries()
-
 
 def _zone_key(zone: ids.ZoneName) -> ids.VmId:
     """Returns the key in `Workload` of the total loads of a zone."""
--- a/packages/galenaquay/galenaquay/limits/quarantine.py
+++ b/packages/galenaquay/galenaquay/limits/quarantine.py
@@ -206,6 +206,19 @@
         part = self._parts_by_id.get(part_id)
         return 0 if part is None else len(part.ends_by_run)
 
+    def is_suspected(
+        self,
+        part_ids: Iterable[ids.PromptPartId],
+        identities: Iterable[ids.PromptPartId] = (),
+    ) -> bool:
+        """Returns whether an engine has ended under a part or an identity.
+
+        Ends that they were cleared of do not count.
+        """
+        self._remove_outdated()
+        own = map(request_identities.own, identities)
+        return any(map(self._count_ends, (*part_ids, *own)))
+
     def blamed_count(self) -> int:
         """Returns the number of parts, or sets of parts, that are blamed."""
         self._remove_outdated()
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -12,6 +12,7 @@
 from ..engines import reliability as reliability_module
 from ..engines import usual_times as usual_times_module
 from ..engines import workload as workload_module
+from . import hedging as hedging_module
 from ..limits import attempt_budget
 from ..limits import availability as availability_module
 from ..limits import group_memory
@@ -22,6 +23,7 @@
 from . import response_ends as response_ends_module
 from ..routing import placement as placement_module
 from ..waiting import room as room_module
+from ..waiting import sums as sums_module
 
 
 class Lifetime:
@@ -84,3 +86,5 @@
     refresh_loads: Callable[[], Awaitable[None]]
     # The requests that wait for capacity.
     room: room_module.Room
+    waiting_sums: sums_module.WaitingSums
+    hedging: hedging_module.Hedging
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -12,6 +12,7 @@
 
 from .. import ids
 from . import admission
+from . import attempt_race
 from . import dependencies as dependencies_module
 from ..engines import workload as workload_module
 from ..limits import group_memory
@@ -19,6 +20,7 @@
 from ..ports import exchange
 from ..ports import reservations
 from . import quarantine_check as quarantine_check_module
+from . import response_body
 from ..routing import placement as placement_module
 from ..streams import event_cutter
 from ..streams import event_relay
@@ -36,9 +38,9 @@
 # callers accept, but at least a minimum in seconds.
 STALL_TIMEOUT_FACTOR: Final = 6.0
 MIN_STALL_TIMEOUT_S: Final = 1.7
-# Maximum size of a response that is not a stream, in bytes. Such a response is
-# kept in memory until it is complete.
-MAX_WHOLE_RESPONSE_BYTES: Final = 4 * 1024 * 1024
+# Interval between checks of whether a silent stream has an attempt left again
+# after a hedge that was not sent, in seconds.
+RECHECK_S: Final = 0.25
 
 
 @dataclasses.dataclass
@@ -72,34 +74,24 @@
     return await anext(body, None)
 
 
-async def _read_whole(body: AsyncIterator[bytes]) -> bytes:
-    """Returns the body; raises ExchangeBrokenError if it is too large."""
-    parts: list[bytes] = []
-    size = 0
-    async for data in body:
-        size += len(data)
-        if size > MAX_WHOLE_RESPONSE_BYTES:
-            raise exchange.ExchangeBrokenError('the body is too large')
-        parts.append(data)
-    return b''.join(parts)
-
-
 class ForwardingAttempt:
     """Sends a request to the endpoints of one placement."""
 
+    placement: placement_module.Placement
     # When the attempt began, on the clock of the quarantine.
     began_at_s: float
     # Whether the head of the response has arrived.
     has_head: bool
-    # What a check at the end of the response has shown; None without a check.
-    run_state: exchange.RunState | None = None
 
     def __init__(
         self,
         dependencies: dependencies_module.Dependencies,
         forwarded: ForwardedRequest,
         placement: placement_module.Placement,
+        entrant: attempt_race.Entrant,
     ) -> None:
+        self.placement = placement
+        self._entrant = entrant
         self._dependencies = dependencies
         self._forwarded = forwarded
         self._admitted = forwarded.admitted
@@ -110,16 +102,22 @@
         self._loop = asyncio.get_running_loop()
         # When the request was sent, on the event loop's clock.
         self._sent_s = 0.0
+        # The timeout for the head, and when it expires if it is in effect.
+        self._head_timeout: asyncio.Timeout | None = None
+        self._head_timeout_at_s: float | None = None
         self.began_at_s = dependencies.quarantine.now_s()
         self.has_head = False
-        # When the last data of the body arrived, on the clock of the ends.
-        self._last_data_s = 0.0
+        self._body: response_body.ResponseBody | None = None
         # When the first event arrived.
         self._writing_since_s: float | None = None
         # Whether the attempt has shown that the prompt does not crash its
         # engine.
         self._is_answered = False
 
+    def run_state(self) -> exchange.RunState | None:
+        """Returns what a check at the end of the body has shown, if any."""
+        return None if self._body is None else self._body.run_state
+
     def writing_s(self) -> float | None:
         """Returns the time since the first event; None before it."""
         if self._writing_since_s is None:
@@ -139,6 +137,14 @@
             for endpoint_id, job in jobs:
                 self._dependencies.workload.remove(endpoint_id, job)
 
+    def update_timeout(self) -> None:
+        """Adapts the timeout to whether another attempt is allowed now."""
+        timeout = self._head_timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(
+                self._head_timeout_at_s if self._has_more_attempts() else None
+            )
+
     def _time_left_s(self) -> float:
         return self._admitted.deadline_s - self._loop.time()
 
@@ -244,7 +250,9 @@
         )
         timeout_s = self._first_byte_timeout_s()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
+                self._head_timeout_at_s = timeout.when()
+                self._head_timeout = timeout
                 response = await self._dependencies.exchange.send(
                     self._request, params
                 )
@@ -254,6 +262,8 @@
             raise AttemptFailedError(
                 exchange.SendError(exchange.Failure.TIMED_OUT, 'no answer')
             ) from None
+        finally:
+            self._head_timeout = None
         if isinstance(response, exchange.SendError):
             if response.notice is not None:
                 self._record_notice(response.notice, is_rejection=True)
@@ -331,10 +341,12 @@
             AttemptFailedError: The status is 5xx and the request may be sent
                 again.
         """
-        body = await _read_whole(self._body(response))
-        await self._check_orderly_end(response)
+        if response.head.status < 500:
+            self._entrant.claim()
+        body = await self._start_body(response).read_whole()
         took_s = self._loop.time() - self._sent_s
         if response.head.status >= 500:
+            await self._entrant.hold(response.head, body)
             self._forwarded.error_response = (response.head, body)
             self._dependencies.reliability.record_success(
                 self._placement.endpoint.id
@@ -352,8 +364,20 @@
             self._record_success(took_s)
             if response.head.is_success:
                 self._forwarded.quarantine_check.record_answer()
+        self._entrant.claim()
         await self._writer.send_whole(response.head, body)
 
+    def _start_body(
+        self, response: exchange.Response
+    ) -> response_body.ResponseBody:
+        self._body = response_body.ResponseBody(
+            response,
+            self._placement.endpoint,
+            self._request.id,
+            self._dependencies.response_ends,
+        )
+        return self._body
+
     def _record_success(self, took_s: float) -> None:
         endpoint_id = self._placement.endpoint.id
         self._dependencies.reliability.record_success(endpoint_id)
@@ -373,12 +397,13 @@
         jobs: list[tuple[ids.EndpointId, workload_module.Job]],
     ) -> None:
         cutter = event_cutter.EventCutter()
-        body = self._body(response)
+        body = self._start_body(response)
+        data_of_body = body.data()
         has_first_event = False
         event_at_s = self._loop.time()
         while True:
             data = await self._read_stream_data(
-                body, has_first_event, event_at_s
+                data_of_body, has_first_event, event_at_s
             )
             if data is None:
                 break
@@ -390,51 +415,18 @@
                 event_at_s = self._loop.time()
                 if not has_first_event:
                     has_first_event = True
+                    self._entrant.claim()
                     self._record_first_event(jobs)
                 else:
                     self._check_answered()
                 await self._forwarded.relay.pass_on(response.head, event)
-        if cutter.leftover():
-            self._dependencies.response_ends.record_broken(
-                self._placement.endpoint
-            )
-            raise exchange.ExchangeBrokenError('ended inside an event')
-        await self._check_orderly_end(response)
+        await body.check_end(is_inside_event=bool(cutter.leftover()))
+        self._entrant.claim()
         if not self._writer.is_started:
             await self._writer.start(response.head)
         await self._writer.finish()
         self._forwarded.quarantine_check.record_answer()
 
-    async def _body(self, response: exchange.Response) -> AsyncIterator[bytes]:
-        """Yields the body; records when data arrived and a broken end."""
-        ends = self._dependencies.response_ends
-        self._last_data_s = ends.now_s()
-        try:
-            async for data in response.body():
-                self._last_data_s = ends.now_s()
-                yield data
-        except exchange.ExchangeBrokenError:
-            ends.record_broken(self._placement.endpoint)
-            raise
-
-    async def _check_orderly_end(self, response: exchange.Response) -> None:
-        """Checks that a body without framing did not end with its endpoint.
-
-        Raises:
-            exchange.ExchangeBrokenError: It is not shown that the endpoint
-                has sent the whole body.
-        """
-        if response.head.is_framed:
-            return
-        verdict = await self._dependencies.response_ends.judge(
-            self._placement.endpoint, self._request.id, self._last_data_s
-        )
-        self.run_state = verdict.run_state
-        if not verdict.is_complete:
-            raise exchange.ExchangeBrokenError(
-                f'closed without framing, run {verdict.run_state.value}'
-            )
-
     def _check_answered(self) -> None:
         """Records that the engine writes an answer, once it has for a time."""
         writing_s = self.writing_s()
@@ -476,8 +468,8 @@
         read_task = asyncio.ensure_future(_read_next(body))
         try:
             await asyncio.wait([read_task], timeout=timeout_s)
-            if not read_task.done() and not self._has_more_attempts():
-                await asyncio.wait([read_task])
+            while not read_task.done() and not self._has_more_attempts():
+                await asyncio.wait([read_task], timeout=RECHECK_S)
             if read_task.done():
                 return read_task.result()
         finally:
--- a/packages/galenaquay/galenaquay/outcomes/quarantine_check.py
+++ b/packages/galenaquay/galenaquay/outcomes/quarantine_check.py
@@ -47,6 +47,10 @@
         self._granted: trial_grants.GrantedTrial | None = None
         self._is_used_up = False
 
+    def is_suspected(self) -> bool:
+        """Returns whether an engine has ended under what the request holds."""
+        return self._quarantine.is_suspected(self._parts, self.identities)
+
     async def find_blamed(
         self, time_left_s: float
     ) -> frozenset[ids.PromptPartId]:
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -65,6 +65,23 @@
       | memory_and_outcomes  | Requests that wait for the memory of four engines          |
       | refused_memory       | Prompts of two VMs that choose the same memory             |
       | wave_of_long_prompts | A wave of long prompts before 69 engines                   |
+      | hedges_within_share  | Hedges of eight VMs that know nothing of each other        |
+      | hedges_use_share     | A share of hedges that is used up                          |
+      | hedge_obstacles      | Reasons against a hedge                                    |
+      | hedging_is_off       | Hedging without limits in the settings                     |
+      | hedge_delay          | The time after which a request is slow                     |
+      | hedge_kinds          | Requests that are not similar                              |
+      | hedge_delay_follows  | Response times that become longer or shorter               |
+      | hedge_delay_keeps    | Response times of requests that were hedged                |
+      | hedge_one_run        | Two attempts that run at the same time                     |
+      | hedge_wins           | A hedge that answers first                                 |
+      | hedge_loses          | A hedge that answers last                                  |
+      | hedge_fails          | A hedge that fails                                         |
+      | unsent_hedge         | A hedge for which there is no connection                   |
+      | hedge_after_failure  | A first attempt that fails beside its hedge                |
+      | hedge_error_responses | Two attempts that get error responses                     |
+      | no_hedge             | Requests that must not be hedged                           |
+      | hedge_long_prompts   | Hedges of long prompts                                     |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -14,6 +14,8 @@
 from tests.properties import document_properties
 from tests.properties import ends_properties
 from tests.properties import fleet_properties
+from tests.properties import hedged_attempt_properties
+from tests.properties import hedging_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
 from tests.properties import priority_properties
@@ -28,6 +30,8 @@
     document_properties,
     ends_properties,
     fleet_properties,
+    hedged_attempt_properties,
+    hedging_properties,
     memory_properties,
     path_properties,
     priority_properties,
@@ -66,6 +70,7 @@
     'adapters/fleet_server',
     'adapters/forward_front',
     'adapters/half_closed',
+    'adapters/member_lists',
     'adapters/mirror_grpc',
     'adapters/run_checks',
     'adapters/raw_heads',
@@ -73,9 +78,13 @@
     'adapters/timed_connections',
     'adapters/trial_grpc',
     'outcomes/admission',
+    'outcomes/attempt_race',
     'outcomes/dependencies',
     'outcomes/forwarding',
     'outcomes/forwarding_attempt',
+    'outcomes/hedge_placement',
+    'outcomes/hedged_attempts',
+    'outcomes/hedging',
     'outcomes/journeys',
     'outcomes/quarantine_check',
     'outcomes/placing',
@@ -84,6 +93,7 @@
     'waiting/order',
     'waiting/room',
     'waiting/sums',
+    'outcomes/response_body',
     'outcomes/response_ends',
     'routing/kept_engines',
     'routing/losses',
--- a/tests/properties/simulated_pool.py
+++ b/tests/properties/simulated_pool.py
@@ -24,10 +24,14 @@
 from galenaquay.limits import group_memory
 from galenaquay.limits import named_limits
 from galenaquay.limits import quarantine
+from galenaquay.limits import trial_grants
+from galenaquay.membership import fleet as fleet_module
 from galenaquay.membership import revisions
 from galenaquay.outcomes import admission
 from galenaquay.outcomes import dependencies
+from galenaquay.outcomes import hedging
 from galenaquay.outcomes import journeys
+from galenaquay.outcomes import response_ends
 from galenaquay.ports import exchange
 from galenaquay.ports import reservations
 from galenaquay.routing import placement
@@ -344,8 +348,8 @@
         await asyncio.sleep(ORDER_S)
         return Response(self, request, params)
 
-    async def has_ended(self, endpoint):
-        return False
+    async def find_run(self, endpoint):
+        return exchange.RunState.SAME
 
     def ask(self, vm, name, tokens, answer, *, has_class=True):
         """Has a VM serve a request; returns the task and the caller."""
@@ -414,9 +418,10 @@
             self.workload, self.sums, self.refresh_loads, metrics, rng
         )
         self.lifetime = dependencies.Lifetime()
+        blame = quarantine.Quarantine(known, clock=clock)
         self.dependencies = dependencies.Dependencies(
-            document_properties.make_current(clock),
-            placement.Placer(
+            current=document_properties.make_current(clock),
+            placer=placement.Placer(
                 pool.directory,
                 available,
                 self.workload,
@@ -425,20 +430,34 @@
                 zone,
                 rng,
             ),
-            self.workload,
-            reliable,
-            attempt_budget.AttemptBudget(clock),
-            pool,
-            group_memory.GroupMemory(pool),
-            metrics,
-            rng,
-            usual_times.UsualTimes(),
-            self.lifetime,
-            quarantine.Quarantine(known, clock=clock),
-            named_limits.NamedLimits(known, clock=clock),
-            available,
-            self.refresh_loads,
-            self.room,
+            workload=self.workload,
+            reliability=reliable,
+            budget=attempt_budget.AttemptBudget(clock),
+            exchange=pool,
+            group_memory=group_memory.GroupMemory(pool),
+            metrics=metrics,
+            rng=rng,
+            usual_times=usual_times.UsualTimes(),
+            lifetime=self.lifetime,
+            quarantine=blame,
+            trial_grants=trial_grants.TrialGrants(
+                fleet_module.Fleet(
+                    fleet_module.Member(self.id, 1, 'h:0', zone), [], clock
+                ),
+                blame,
+                None,
+                metrics,
+                clock,
+            ),
+            named_limits=named_limits.NamedLimits(known, clock=clock),
+            availability=available,
+            response_ends=response_ends.ResponseEnds(
+                pool, pool.directory, available, metrics, clock
+            ),
+            refresh_loads=self.refresh_loads,
+            room=self.room,
+            waiting_sums=self.sums,
+            hedging=hedging.Hedging(hedging.Shares(0.0, 0.0), clock),
         )
 
     async def refresh_loads(self):
