Send bodies to endpoints that read them late

Cause: HttpResponse.close aborted the connection once the response was complete, so an endpoint that reads a long body after its response lost what the transport still held. TCP_USER_TIMEOUT (1.5 s) also ends a connection whose peer answers window probes but keeps its window closed, so an endpoint that pauses before it reads was taken for a dead machine.

Change: endpoint_connections sends a request with flow control in a task of its own; a failure to send leaves the received data readable. Response.finish hands a connection that still sends to body_transfers, within 32 MiB, 256 transfers and the request's deadline; a shutdown waits for these. peer_liveness extends TCP_USER_TIMEOUT while the peer has not taken the request but answers (TCP_INFO, SIOCOUTQ), and ends a connection whose peer leaves probes unanswered for 1.5 s. Where the kernel reports nothing, the timeout of long requests is extended to their deadline. An aborted request is reset, so that its end does not wait behind the body.

--- a/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
+++ b/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
@@ -49,6 +49,19 @@
     ENCODED = 'encoded'
     # Responds 503 with `X-Not-Executed` before the engine reads the body.
     EARLY_RESPONSE = 'early'
+    # Executes the request and responds before the engine reads the body, which
+    # is read after a pause. A stream pauses after its first event until then.
+    LATE_BODY = 'late body'
+    # Executes the request, responds without reading the body, and closes the
+    # connection, or resets it.
+    UNREAD_CLOSE = 'unread close'
+    UNREAD_RESET = 'unread reset'
+    # Executes the request, reads no more than its head, and does not respond.
+    UNREAD_SILENCE = 'unread silence'
+    # Like `UNREAD_SILENCE`; after a pause, acknowledges nothing any more.
+    UNREAD_DEATH = 'unread death'
+    # Reads the whole request; after a pause, acknowledges nothing any more.
+    READ_DEATH = 'read death'
     # Executes the request and sends bytes until the client disconnects: a
     # header, informational responses, a body without a length, or a stream
     # without the end of an event.
@@ -88,3 +101,17 @@
         Fault.NO_LENGTH_CRASH,
     )
 )
+# Faults that leave the body unread when the engine begins to respond.
+UNREAD_FAULTS: Final = frozenset(
+    (
+        Fault.LATE_BODY,
+        Fault.UNREAD_CLOSE,
+        Fault.UNREAD_RESET,
+        Fault.UNREAD_SILENCE,
+        Fault.UNREAD_DEATH,
+    )
+)
+# Faults after which the engine only waits for the end of the connection.
+SILENT_FAULTS: Final = frozenset(
+    (Fault.UNREAD_SILENCE, Fault.UNREAD_DEATH, Fault.READ_DEATH)
+)
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import itertools
 import time
 from typing import Any, Final
@@ -15,6 +14,8 @@
 import orjson
 
 from . import engine_faults
+from . import engine_records
+from . import late_reading
 from . import raw_responses
 
 _NS_PER_MS: Final = 1_000_000
@@ -30,41 +31,6 @@
 SLOW_BYTE_INTERVAL_S: Final = 0.1
 
 
-@dataclasses.dataclass
-class ReceivedRequest:
-    """One request as the engine received it."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    # Whether the engine executed the request.
-    has_run: bool = False
-    # Whether the client disconnected before the response was complete.
-    client_disconnected: bool = False
-    # On the monotonic clock, in seconds.
-    received_at_s: float = dataclasses.field(default_factory=time.monotonic)
-    # Run of the engine, by its start in Unix milliseconds.
-    run_started_at_ms: int = 0
-    # What the engine says of itself in the response.
-    says_leaving: bool = False
-    retry_after: str | None = None
-
-    @property
-    def attempt_id(self) -> str:
-        """The id of the client's attempt; empty if there is none."""
-        return self.headers.get('x-attempt-id', '')
-
-
-@dataclasses.dataclass
-class Reservation:
-    """Engine memory reserved for a request."""
-
-    tokens: int
-    # Expiry on the monotonic clock, in seconds.
-    expires_at_s: float
-
-
 class SealedEngine:
     """Engine or plain service stand-in that listens on loopback."""
 
@@ -87,6 +53,13 @@
         self.answer_delay_s = 0.0
         # Time from the head of a stream to its first event, in seconds.
         self.event_delay_s = 0.0
+        # Pause before `Fault.LATE_BODY` reads a body, and before the faults
+        # after which nothing is acknowledged take effect, in seconds.
+        self.late_read_s = 0.3
+        # Sizes of receive buffers and segments of connections; 0 leaves them
+        # to the system.
+        self.receive_buffer_bytes = 0
+        self.segment_bytes = 0
         self.body = b'{"ok":true}'
         self.faults: list[engine_faults.Fault] = []
         # Number of bytes of the head sent by `Fault.PARTIAL_HEAD`.
@@ -95,7 +68,7 @@
         self.full_head_bytes = 0
         # Number of complete events sent before `Fault.PARTIAL_EVENT` applies.
         self.events_before_reset = 3
-        self.received: list[ReceivedRequest] = []
+        self.received: list[engine_records.ReceivedRequest] = []
         # Bytes sent by the faults that end only when the client disconnects.
         self.endless_bytes = 0
         # Requests per second that answers name as the limit; None names none.
@@ -115,7 +88,7 @@
         self.orders: list[dict[str, Any]] = []
         # Whether the engine carries out orders without responding to them.
         self.drops_order_responses = False
-        self.reservations_by_id: dict[str, Reservation] = {}
+        self.reservations_by_id: dict[str, engine_records.Reservation] = {}
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._numbers = itertools.count()
@@ -137,7 +110,10 @@
     async def start(self) -> None:
         """Starts to listen on the engine's port."""
         self._server = await asyncio.start_server(
-            self._serve_connection, '127.0.0.1', self.port
+            self._serve_connection,
+            sock=late_reading.open_listener(
+                self.port, self.receive_buffer_bytes, self.segment_bytes
+            ),
         )
 
     async def stop(self) -> None:
@@ -160,7 +136,7 @@
         self.retry_after = None
         self.started_at_ms += 1
 
-    def executed_requests(self) -> list[ReceivedRequest]:
+    def executed_requests(self) -> list[engine_records.ReceivedRequest]:
         """Returns the requests that the engine executed."""
         return [request for request in self.received if request.has_run]
 
@@ -204,7 +180,7 @@
         is_order = target == '/api/order'
         if self.faults and not target.startswith('/api/'):
             fault = self.faults.pop(0)
-        request = ReceivedRequest(method, target, headers, b'')
+        request = engine_records.ReceivedRequest(method, target, headers, b'')
         if fault is engine_faults.Fault.EARLY_RESPONSE:
             self.received.append(request)
             writer.write(
@@ -213,9 +189,13 @@
             await asyncio.sleep(0.2)
             request.body = await reader.read(1 << 22)
             return False
-        request.body = await reader.readexactly(
-            int(headers.get('content-length', 0))
-        )
+        size = int(headers.get('content-length', 0))
+        if fault is engine_faults.Fault.LATE_BODY:
+            request.late_body = asyncio.ensure_future(
+                late_reading.read_body(reader, writer, size, self.late_read_s)
+            )
+        elif fault not in engine_faults.UNREAD_FAULTS:
+            request.body = await reader.readexactly(size)
         if is_order:
             return self._handle_order(request, writer)
         if target == '/api/report':
@@ -240,27 +220,54 @@
                 )
             )
             return True
-        disconnect = asyncio.ensure_future(reader.read(1))
+        if fault in engine_faults.SILENT_FAULTS:
+            request.has_run = True
+            if fault is not engine_faults.Fault.UNREAD_SILENCE:
+                await asyncio.sleep(self.late_read_s)
+                late_reading.drop_packets(writer)
+            await late_reading.wait_hang_up(writer)
+            request.hung_up_at_s = time.monotonic()
+            return False
+        disconnect = asyncio.ensure_future(self._read_surplus(request, reader))
         try:
-            return await self._respond(request, fault, writer, disconnect)
+            is_kept = await self._respond(request, fault, writer, disconnect)
+            if request.late_body is not None:
+                # Reads what follows the body, until the connection ends.
+                request.surplus = await disconnect
+                return False
+            if fault is engine_faults.Fault.UNREAD_RESET:
+                raw_responses.reset(writer)
+            return is_kept and fault not in engine_faults.UNREAD_FAULTS
         finally:
             disconnect.cancel()
             await asyncio.wait([disconnect])
 
-    def _is_deadly(self, request: ReceivedRequest) -> bool:
+    async def _read_surplus(
+        self,
+        request: engine_records.ReceivedRequest,
+        reader: asyncio.StreamReader,
+    ) -> bytes:
+        """Returns the first byte after a request; empty at the end."""
+        if request.late_body is not None:
+            request.body = await request.late_body
+        return await reader.read(1)
+
+    def _is_deadly(self, request: engine_records.ReceivedRequest) -> bool:
         parts = request.headers.get('x-prompt-prefix', '').split(',')
         shared = [part.partition(':')[0].strip() for part in parts[:-1]]
         return self.deadly_part in shared
 
     def _handle_order(
-        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+        self,
+        request: engine_records.ReceivedRequest,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         order = orjson.loads(request.body)
         self.orders.append(order)
         now_s = time.monotonic()
         status = 200
         if order['operation'] == 'reserve':
-            self.reservations_by_id[order['id']] = Reservation(
+            self.reservations_by_id[order['id']] = engine_records.Reservation(
                 order['tokens'], now_s + order['holdMs'] / 1000
             )
         elif self.reservations_by_id.pop(order['id'], None) is None:
@@ -313,7 +320,7 @@
 
     async def _respond(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
@@ -351,7 +358,7 @@
 
     def _format_head(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault | None,
         extra: str,
     ) -> bytes:
@@ -375,7 +382,7 @@
 
     async def _send_without_end(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault,
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
@@ -415,7 +422,7 @@
 
     def _send_plain(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
     ) -> bool:
@@ -438,7 +445,7 @@
 
     async def _send_stream(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
@@ -480,6 +487,8 @@
                 return False
             writer.write(raw_responses.chunk(event) if is_chunked else event)
             await writer.drain()
+            if request.late_body is not None:
+                await asyncio.wait([request.late_body])
             await asyncio.sleep(self.event_interval_s)
             if disconnect.done():
                 request.client_disconnected = True
--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -6,28 +6,23 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+import functools
 import logging
 import socket
 from typing import Any, Final, Protocol
 
 import h11
 
+from . import body_transfers
+from . import endpoint_connections
 from ..engines import directory
+from . import peer_liveness
 from ..ports import exchange
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for connecting to an endpoint, in seconds.
 CONNECT_TIMEOUT_S: Final = 0.25
-# TCP options that detect dead peers. The connection fails if sent data remains
-# unacknowledged, or keepalive probes on an idle connection unanswered, for
-# TCP_USER_TIMEOUT_MS; on Linux this timeout takes precedence over
-# KEEPALIVE_PROBES, the number of unanswered probes. The idle time before the
-# first probe and the interval between probes are in seconds.
-TCP_USER_TIMEOUT_MS: Final = 1500
-KEEPALIVE_IDLE_S: Final = 1
-KEEPALIVE_INTERVAL_S: Final = 1
-KEEPALIVE_PROBES: Final = 2
 # Largest number of bytes per read from a connection.
 READ_BYTES: Final = 32 * 1024
 # Limit on the status line and headers of a response, in bytes; a response
@@ -61,25 +56,15 @@
         ...
 
 
-def detect_dead_peer(sock: socket.socket) -> None:
-    """Sets the TCP options that detect a peer which no longer responds."""
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-
-
 def open_socket(info: Any) -> socket.socket:
-    """Creates a socket with `detect_dead_peer`, for aiohttp connectors.
+    """Creates a socket for aiohttp connectors that detects dead peers.
 
     Args:
         info: An entry of the list that `socket.getaddrinfo` returns.
     """
     family, kind, protocol, _, _ = info
     sock = socket.socket(family, kind, protocol)
-    detect_dead_peer(sock)
+    peer_liveness.detect_dead_peer(sock)
     return sock
 
 
@@ -90,27 +75,47 @@
         self,
         head: exchange.Head,
         parser: h11.Connection,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        connection: endpoint_connections.EndpointConnection,
+        hand_over: Callable[[], None],
     ) -> None:
+        """Creates a response.
+
+        Args:
+            head: The status and headers.
+            parser: Has parsed the head.
+            connection: Delivers the body.
+            hand_over: Leaves the connection to the keeper of transfers.
+        """
         self.head = head
         self._parser = parser
-        self._reader = reader
-        self._writer = writer
+        self._connection = connection
+        self._hand_over = hand_over
+        self._is_finished = False
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yields the body; raises ExchangeBrokenError if it is truncated."""
         while True:
-            event = await _next_event(self._parser, self._reader)
+            event = await _next_event(self._parser, self._connection.reader)
             if isinstance(event, h11.EndOfMessage):
                 return
             if not isinstance(event, h11.Data):
                 raise exchange.ExchangeBrokenError('the body ended early')
             yield bytes(event.data)
 
+    def finish(self) -> None:
+        """Ends a complete response; the request is still sent to its end."""
+        if not self._is_finished:
+            self._is_finished = True
+            self._hand_over()
+
     def close(self) -> None:
-        """Aborts the connection, which cancels the request at the endpoint."""
-        self._writer.transport.abort()
+        """Aborts the connection, which cancels the request at the endpoint.
+
+        Does nothing after `finish`.
+        """
+        if not self._is_finished:
+            self._is_finished = True
+            self._connection.abort()
 
 
 async def _next_event(
@@ -142,8 +147,11 @@
 class HttpExchange:
     """Sends requests to endpoints, one connection per request."""
 
-    def __init__(self, codec: Codec) -> None:
+    def __init__(
+        self, codec: Codec, transfers: body_transfers.BodyTransfers
+    ) -> None:
         self._codec = codec
+        self._transfers = transfers
 
     async def send(
         self, request: exchange.Request, params: exchange.AttemptParams
@@ -152,7 +160,7 @@
         endpoint = params.endpoint
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(
+                connection = await endpoint_connections.connect(
                     endpoint.host, endpoint.port
                 )
         except (OSError, TimeoutError) as exc:
@@ -160,12 +168,12 @@
                 exchange.Failure.NOT_SENT, str(exc) or 'no connection in time'
             )
         try:
-            response = await self._exchange(request, params, reader, writer)
+            response = await self._exchange(request, params, connection)
         except BaseException:
-            writer.transport.abort()
+            connection.abort()
             raise
         if isinstance(response, exchange.SendError):
-            writer.transport.abort()
+            connection.abort()
         return response
 
     async def has_ended(self, endpoint: directory.Endpoint) -> bool:
@@ -190,20 +198,19 @@
         self,
         request: exchange.Request,
         params: exchange.AttemptParams,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        connection: endpoint_connections.EndpointConnection,
     ) -> HttpResponse | exchange.SendError:
-        detect_dead_peer(writer.get_extra_info('socket'))
         parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         try:
-            data = self._request_bytes(parser, request, params)
+            request_head = self._format_head(parser, request, params)
         except h11.LocalProtocolError as exc:
             return exchange.SendError(exchange.Failure.NOT_SENT, str(exc))
-        writer.write(data)
+        deadline_s = asyncio.get_running_loop().time() + params.time_left_s
+        connection.send(request_head, request.body, params.time_left_s)
         try:
-            event = await _read_head(parser, reader)
+            event = await _read_head(parser, connection.reader)
         except exchange.ExchangeBrokenError as exc:
             return exchange.SendError(exchange.Failure.BROKEN, str(exc))
         if not isinstance(event, h11.Response):
@@ -217,9 +224,20 @@
         head = self._codec.decode(request, event.status_code, headers)
         if isinstance(head, exchange.SendError):
             return head
-        return HttpResponse(head, parser, reader, writer)
+        return HttpResponse(
+            head,
+            parser,
+            connection,
+            functools.partial(
+                self._transfers.add,
+                request.id,
+                params.endpoint.id,
+                connection,
+                deadline_s,
+            ),
+        )
 
-    def _request_bytes(
+    def _format_head(
         self,
         parser: h11.Connection,
         request: exchange.Request,
@@ -238,8 +256,9 @@
                 ],
             )
         )
-        parts = [head or b'']
+        # The parser gets the body as well, so that its state is that of a
+        # request which has been sent, but does not copy the body.
         if request.body:
-            parts.append(parser.send(h11.Data(data=request.body)) or b'')
-        parts.append(parser.send(h11.EndOfMessage()) or b'')
-        return b''.join(parts)
+            parser.send_with_data_passthrough(h11.Data(data=request.body))
+        parser.send(h11.EndOfMessage())
+        return head or b''
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -208,6 +208,7 @@
                 )
             else:
                 await self._relay_whole(response)
+            response.finish()
             return head.status
         except exchange.ExchangeBrokenError as exc:
             raise AttemptFailedError(
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -173,8 +173,16 @@
         """Yields the body; raises ExchangeBrokenError if it ends early."""
         ...
 
+    def finish(self) -> None:
+        """Ends a response whose whole body was read.
+
+        An endpoint that keeps the connection open still receives the rest of
+        the request's body; `close` does nothing afterwards.
+        """
+        ...
+
     def close(self) -> None:
-        """Closes the connection, so that the endpoint cancels the request."""
+        """Aborts the connection, so that the endpoint cancels the request."""
         ...
 
 
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -12,6 +12,7 @@
 from tests.properties import availability_properties
 from tests.properties import document_properties
 from tests.properties import fleet_properties
+from tests.properties import late_body_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
 from tests.properties import quarantine_properties
@@ -21,6 +22,7 @@
     availability_properties,
     document_properties,
     fleet_properties,
+    late_body_properties,
     memory_properties,
     path_properties,
     quarantine_properties,
@@ -48,11 +50,14 @@
     ('galenaquayctl/clients.py', headers.TIME_LEFT_MS),
 }
 REQUEST_MODULES = (
+    'adapters/body_transfers',
+    'adapters/endpoint_connections',
     'adapters/exchange_http',
     'adapters/fleet_grpc',
     'adapters/fleet_messages',
     'adapters/forward_front',
     'adapters/mirror_grpc',
+    'adapters/peer_liveness',
     'adapters/timed_connections',
     'outcomes/admission',
     'outcomes/dependencies',
--- a/tests/features/steps/platform_memory_steps.py
+++ b/tests/features/steps/platform_memory_steps.py
@@ -7,7 +7,7 @@
 from behave import then
 from behave import when
 
-from galenaquay_standins import sealed_engine
+from galenaquay_standins import engine_records
 from tests import platform_asking
 from tests import platform_support as support
 
@@ -94,7 +94,7 @@
         for order in list(engine.orders):
             if order['operation'] == 'reserve':
                 engine.reservations_by_id[order['id']] = (
-                    sealed_engine.Reservation(
+                    engine_records.Reservation(
                         order['tokens'], time.monotonic() + hold_s
                     )
                 )
--- a/tests/features/steps/platform_slow_callers_steps.py
+++ b/tests/features/steps/platform_slow_callers_steps.py
@@ -14,24 +14,6 @@
 SMALL_BUFFER_BYTES = 65536
 
 
-def publish_and_wait(context, **changes):
-    """Publishes a configuration and waits until the first VM applies it."""
-
-    async def run_step():
-        platform_asking.fixture(context).publish(**changes)
-        version = platform_asking.fixture(context).version
-
-        def is_in_force():
-            return (
-                f'"version":{version}'
-                in platform_asking.fixture(context).log()
-            )
-
-        await platform_asking.fixture(context).wait_until(is_in_force, 5.0)
-
-    platform_asking.run(context, run_step())
-
-
 @given(
     'the limits are {head:d} ms for request headers and {idle:d} ms of idle '
     'time'
@@ -43,7 +25,7 @@
         'headerTimeoutMs': head,
         'idleTimeoutMs': idle,
     }
-    publish_and_wait(context, limits=context.limits)
+    platform_asking.publish_and_wait(context, limits=context.limits)
 
 
 @given('the longest timeout of a route is {longest:d} ms')
@@ -52,7 +34,9 @@
         {**route, 'timeoutMs': min(longest, route['timeoutMs'])}
         for route in support.configuration()['routes']
     ]
-    publish_and_wait(context, limits=context.limits, routes=routes)
+    platform_asking.publish_and_wait(
+        context, limits=context.limits, routes=routes
+    )
 
 
 def slow_pieces(what):
--- a/tests/platform_asking.py
+++ b/tests/platform_asking.py
@@ -14,6 +14,21 @@
     return context.fixture
 
 
+def publish_and_wait(context, **changes):
+    """Publishes a configuration and waits until the first VM applies it."""
+
+    async def run_step():
+        fixture(context).publish(**changes)
+        version = fixture(context).version
+
+        def is_in_force():
+            return f'"version":{version}' in fixture(context).log()
+
+        await fixture(context).wait_until(is_in_force, 5.0)
+
+    run(context, run_step())
+
+
 def send_post(context, target, body=b'{"a":1}', **headers):
     context.body = body
     context.request_id = os.urandom(8).hex()
