Play late readers in the soak; connect as before

Change: the event loop connects as before, and the first bytes are written to the file descriptor of its transport. The soak has engines that read bodies after their responses, and one request in ten has a body of up to 80,000 bytes; promises.check_late_bodies wants the whole body at an engine whose response reached the client while no fault affected either. Engines that never read are left out of the soak, as `promises` takes a body that was not read for a changed one.

--- a/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
+++ b/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
@@ -101,6 +101,10 @@
         Fault.NO_LENGTH_CRASH,
     )
 )
+# Of these, the faults that break a stream off after a complete event.
+BREAKS_BETWEEN_EVENTS: Final = frozenset(
+    (Fault.NO_LENGTH_RESET, Fault.NO_LENGTH_CRASH)
+)
 # Faults that leave the body unread when the engine begins to respond.
 UNREAD_FAULTS: Final = frozenset(
     (
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -19,14 +19,6 @@
 from . import raw_responses
 
 _NS_PER_MS: Final = 1_000_000
-_BREAKS_BETWEEN_EVENTS: Final = frozenset(
-    (
-        engine_faults.Fault.NO_LENGTH_RESET,
-        engine_faults.Fault.NO_LENGTH_CRASH,
-    )
-)
-
-
 # Pause between two bytes of `Fault.SLOW_ENDLESS_EVENT`, in seconds.
 SLOW_BYTE_INTERVAL_S: Final = 0.1
 
@@ -190,6 +182,9 @@
             request.body = await reader.read(1 << 22)
             return False
         size = int(headers.get('content-length', 0))
+        if self.retry_after is not None:
+            # The request is turned away below.
+            fault = None
         if fault is engine_faults.Fault.LATE_BODY:
             request.late_body = asyncio.ensure_future(
                 late_reading.read_body(reader, writer, size, self.late_read_s)
@@ -475,7 +470,7 @@
                 and number == first + self.events_before_reset
             ):
                 part = event[: len(event) // 2]
-                if fault in _BREAKS_BETWEEN_EVENTS:
+                if fault in engine_faults.BREAKS_BETWEEN_EVENTS:
                     part = b''
                 writer.write(raw_responses.chunk(part) if is_chunked else part)
                 await writer.drain()
--- a/packages/galenaquay/galenaquay/adapters/endpoint_connections.py
+++ b/packages/galenaquay/galenaquay/adapters/endpoint_connections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import struct
 from typing import Final
@@ -61,13 +62,18 @@
     reset, if both arrive at once.
     """
 
-    def __init__(self, reader: ConnectionReader, sock: socket.socket) -> None:
+    def __init__(self, reader: ConnectionReader) -> None:
         super().__init__(reader, loop=asyncio.get_running_loop())
         self._connection_reader = reader
-        self._sock = sock
+        self._sock: socket.socket | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._sock = transport.get_extra_info('socket')
 
     def eof_received(self) -> bool | None:
-        with contextlib.suppress(OSError):
+        assert self._sock is not None
+        with contextlib.suppress(*peer_liveness.CLOSED_ERRORS):
             error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if error:
                 self._connection_reader.note_failure(
@@ -113,7 +119,7 @@
         )
         first = head + body[:SEND_BYTES]
         try:
-            sent_bytes = self._sock.send(first)
+            sent_bytes = os.write(self._sock.fileno(), first)
         except BlockingIOError:
             sent_bytes = 0
         except OSError as exc:
@@ -123,6 +129,7 @@
             # The event loop does not send on a socket whose file descriptor
             # one of its transports reads from.
             sock = self._sock.dup()
+            sock.setblocking(False)
             self._sending = asyncio.create_task(
                 self._send_rest(sock, first[sent_bytes:], body)
             )
@@ -215,7 +222,7 @@
         if self.has_unsent():
             # The end of the connection would otherwise reach the endpoint
             # only after all that the kernel holds.
-            with contextlib.suppress(OSError):
+            with contextlib.suppress(*peer_liveness.CLOSED_ERRORS):
                 self._sock.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
                 )
@@ -225,19 +232,12 @@
 
 
 async def connect(host: str, port: int) -> EndpointConnection:
-    """Opens a connection to an IP address; raises OSError if it fails."""
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    """Opens a connection; raises OSError if it fails."""
     loop = asyncio.get_running_loop()
-    try:
-        sock.setblocking(False)
-        await loop.sock_connect(sock, (host, port))
-        peer_liveness.detect_dead_peer(sock)
-        reader = ConnectionReader()
-        transport, _ = await loop.create_connection(
-            lambda: _ConnectionProtocol(reader, sock), sock=sock
-        )
-    except BaseException:
-        sock.close()
-        raise
+    reader = ConnectionReader()
+    transport, _ = await loop.create_connection(
+        lambda: _ConnectionProtocol(reader), host, port
+    )
+    sock = transport.get_extra_info('socket')
+    peer_liveness.detect_dead_peer(sock)
     return EndpointConnection(sock, reader, transport)
--- a/packages/galenaquay/galenaquay/adapters/peer_liveness.py
+++ b/packages/galenaquay/galenaquay/adapters/peer_liveness.py
@@ -44,6 +44,8 @@
 _LAST_DATA_SENT_MS: Final = 17
 _LAST_ACK_RECEIVED_MS: Final = 20
 _MS_PER_S: Final = 1000
+# What operations on the socket of a closed connection raise, by event loop.
+CLOSED_ERRORS: Final = (OSError, ValueError)
 
 
 def detect_dead_peer(sock: socket.socket) -> None:
@@ -72,7 +74,7 @@
         data = sock.getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size
         )
-    except (AttributeError, OSError):
+    except (AttributeError, *CLOSED_ERRORS):
         return None
     # A state of 0 is invalid; platforms that emulate Linux may return it.
     if len(data) < _TCP_INFO.size or not data[_STATE]:
@@ -98,7 +100,7 @@
     try:
         # The same request as SIOCOUTQ.
         fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued)
-    except (AttributeError, OSError, ValueError):
+    except (AttributeError, *CLOSED_ERRORS):
         return None
     return queued[0]
 
@@ -155,7 +157,7 @@
                 socket.TCP_USER_TIMEOUT,
                 self._extended_ms if is_extended else TCP_USER_TIMEOUT_MS,
             )
-        except OSError:
+        except CLOSED_ERRORS:
             # The connection has ended.
             self.stop()
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,13 +17,19 @@
 # A zone is withdrawn for this multiple of the duration, as VMs may take some
 # time to follow.
 WITHDRAWAL_FACTOR = 2.0
-# Complete answers of other kinds, which clients get as they are, and a crash,
-# after which nothing would start the engine again.
+# Complete answers of other kinds, which clients get as they are, a crash,
+# after which nothing would start the engine again, and answers of engines that
+# do not read the request, which `promises` would take for a changed one.
 UNUSED_FAULTS = frozenset(
     (
         engine_faults.Fault.ENCODED,
         engine_faults.Fault.PLAIN_RESPONSE,
         engine_faults.Fault.NO_LENGTH_CRASH,
+        engine_faults.Fault.UNREAD_CLOSE,
+        engine_faults.Fault.UNREAD_RESET,
+        engine_faults.Fault.UNREAD_SILENCE,
+        engine_faults.Fault.UNREAD_DEATH,
+        engine_faults.Fault.READ_DEATH,
     )
 )
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -12,6 +12,9 @@
 from tests.soak import world as worlds
 
 CLIENTS = 12
+# Share of requests with long bodies, and how much longer these are.
+LONG_BODY_SHARE = 0.1
+LONG_BODY_FACTOR = 400
 # Shortest and longest time between the starts of two faults, in seconds.
 FAULT_INTERVAL_S = (0.1, 0.9)
 # Time that the requirements allow for recovery and for the release of engine
@@ -77,6 +80,12 @@
             world.process_fault_times_s,
             world.engine_fault_times_s,
         )
+        promises.check_late_bodies(
+            sent,
+            world.engines_by_name.values(),
+            world.process_fault_times_s,
+            world.engine_fault_times_s,
+        )
         promises.check_new_keys(
             sent, world.published_at_s, world.revoked_at_s, APPLY_S
         )
@@ -112,6 +121,8 @@
 async def send_request(world, rng, sent, vm):
     prefix = rng.choice(sorted(TIME_LIMIT_S_BY_PREFIX))
     body = bytes(rng.randrange(97, 123) for _ in range(rng.randrange(200)))
+    if rng.random() < LONG_BODY_SHARE:
+        body *= LONG_BODY_FACTOR
     request = promises.SentRequest(
         os.urandom(8).hex(),
         prefix,
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -68,7 +68,13 @@
     """Checks that a back end ran an unchanged request of a client."""
     if request is None:
         raise PromiseError(f'no client sent the request {received}')
-    if (received.target, received.body) != (request.target, request.body):
+    body = request.body
+    if received.late_body is not None:
+        # The connection may end before a late reader has the body, through a
+        # fault or because the client has left; `check_late_bodies` says when
+        # this must not happen.
+        body = body[: len(received.body)]
+    if (received.target, received.body) != (request.target, body):
         raise PromiseError(f'{request.id} was changed on its way: {received}')
     if 'authorization' in received.headers:
         raise PromiseError(
@@ -171,6 +177,43 @@
             )
 
 
+def check_late_bodies(sent, engines, process_faults_s, engine_faults_s):
+    """Checks that late readers get the body of a request that succeeded.
+
+    Args:
+        sent: the requests of all clients.
+        engines: the engines and services that recorded their requests.
+        process_faults_s: times of faults of each VM's process, by VM.
+        engine_faults_s: times of faults of the connections to each engine, by
+            its name.
+    """
+    sent_by_id = {request.id: request for request in sent}
+    for engine in engines:
+        for received in engine.received:
+            request = sent_by_id.get(received.attempt_id)
+            if (
+                received.late_body is None
+                or not received.has_run
+                or not received.late_body.done()
+                or request is None
+                or request.answer is None
+                or request.answer.status != 200
+                or not request.answer.is_complete
+                or received.body == request.body
+            ):
+                continue
+            faults_s = [
+                *process_faults_s[request.vm],
+                *engine_faults_s[engine.name],
+            ]
+            until_s = received.received_at_s + FAULT_LASTS_S
+            if not has_fault(faults_s, received.received_at_s, until_s):
+                raise PromiseError(
+                    f'{request.id} succeeded, but {engine.name} got '
+                    f'{len(received.body)} of {len(request.body)} bytes'
+                )
+
+
 def has_fault(faults_s, from_s, until_s):
     """Returns whether a fault was in progress between two times."""
     return any(from_s - FAULT_LASTS_S < s < until_s for s in faults_s)
