--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -16,6 +16,7 @@
 from tests.properties import fleet_properties
 from tests.properties import hedged_attempt_properties
 from tests.properties import hedging_properties
+from tests.properties import late_body_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
 from tests.properties import priority_properties
@@ -32,6 +33,7 @@
     fleet_properties,
     hedged_attempt_properties,
     hedging_properties,
+    late_body_properties,
     memory_properties,
     path_properties,
     priority_properties,
@@ -64,6 +66,8 @@
 }
 REQUEST_MODULES = (
     'adapters/closing_sockets',
+    'adapters/body_transfers',
+    'adapters/endpoint_connections',
     'adapters/exchange_http',
     'adapters/fleet_grpc',
     'adapters/fleet_messages',
@@ -75,6 +79,7 @@
     'adapters/run_checks',
     'adapters/raw_heads',
     'adapters/socket_state',
+    'adapters/peer_liveness',
     'adapters/timed_connections',
     'adapters/trial_grpc',
     'outcomes/admission',
