Test which ends of engines are recorded

The quarantine missed the end of an engine whose listener outlived its connections, or whose address another run or endpoint used at once. The scenarios guard against that, and against an end that is recorded for an engine that is silent or alive.

--- a/tests/features/steps/platform_ends_steps.py
+++ b/tests/features/steps/platform_ends_steps.py
@@ -199,3 +199,22 @@
 @then('{count:d} report was read')
 def step_reads(context, count):
     assert report_reads(context) == count, report_reads(context)
+
+
+@then(
+    'the entry process records {count:d} ends of engines within {seconds:g} '
+    'seconds'
+)
+def step_recorded_ends(context, count, seconds):
+    fixture = platform_asking.fixture(context)
+
+    def recorded():
+        return fixture.log().count('"engine ended"')
+
+    if count:
+        platform_asking.run(
+            context, fixture.wait_until(lambda: recorded() == count, seconds)
+        )
+    else:
+        platform_asking.run(context, asyncio.sleep(seconds))
+    assert recorded() == count, fixture.log()
--- a/tests/features/unframed_ends.feature
+++ b/tests/features/unframed_ends.feature
@@ -18,6 +18,20 @@
       | unframed silence    | /ask/x  | complete   | 8      |
       | unframed silence    | /tell/x | incomplete | 3      |
 
+  Scenario Outline: The end of an engine with a request is recorded if it is shown
+    Given the first engine to run a request applies the fault "<fault>"
+    When a stream is requested on "/tell/x"
+    Then the entry process records <count> ends of engines within 2 seconds
+
+    Examples:
+      | fault               | count |
+      | unframed crash      | 1     |
+      | unframed late crash | 1     |
+      | unframed restart    | 1     |
+      | unframed reuse      | 1     |
+      | unframed silence    | 0     |
+      | torn                | 0     |
+
   Scenario Outline: Half of a response is not taken for the whole
     Given each service applies the fault "<fault>" to its next request
     When a POST request is sent to "/once/x"
