Keep no engine for short prompts where all are

Cause: in a pool whose engines all belong to the set for short prompts, a long prompt waited until its latest start, 5.2 s of a target of 6 s. Change: in a pool with classes no engine is kept if none is left over.

--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -357,6 +357,9 @@
             times.slots,
             keep.first_class_pause_s if keep else None,
         )
+        if keep is not None and len(short_ids) == len(usable):
+            # A pool of few engines has none for long prompts only.
+            short_ids = frozenset()
         sampled_ids = self._sample([e for e in usable if e.id in short_ids])
         for endpoint in usable:
             load = loads.get(endpoint.id, workload_module.EndpointLoad())
--- a/tests/properties/waiting_properties.py
+++ b/tests/properties/waiting_properties.py
@@ -213,6 +213,22 @@
     simulated_pool.run(simulate)
 
 
+def check_pool_of_one_engine():
+    """A long prompt does not wait for other engines where there are none.
+
+    Guards against a pool whose engines are all kept for short prompts.
+    """
+
+    async def simulate():
+        pool = simulated_pool.Pool(1, 1, TIMES, ROUTES, 1)
+        task, writer = pool.ask(pool.vms[0], 'long', 100_000, 200)
+        await task
+        assert writer.first_event_s < 1.5, writer.first_event_s
+        await pool.close()
+
+    simulated_pool.run(simulate)
+
+
 def check_refused_memory():
     """Requests that choose the same memory at once are all served.
 
