Test the short set beside many long answers

Cause: no test held the set for short prompts small beside long answers. Change: the property short_set_of_classes.

--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -53,6 +53,7 @@
       | waiting_bounds       | More waiting requests than a VM holds                      |
       | memory_and_outcomes  | Requests that wait for the memory of four engines          |
       | pool_of_one_engine   | A long prompt before a single engine                       |
+      | short_set_of_classes | Engines for short prompts beside many long answers         |
       | refused_memory       | Prompts of two VMs that choose the same memory             |
       | wave_of_long_prompts | A wave of long prompts before 69 engines                   |
 
--- a/tests/properties/waiting_properties.py
+++ b/tests/properties/waiting_properties.py
@@ -10,6 +10,7 @@
 from galenaquay.engines import workload
 from galenaquay import ids
 from galenaquay.routing import placement
+from galenaquay.routing import short_set
 from galenaquay import telemetry
 from galenaquay.waiting import decision
 from galenaquay.waiting import order
@@ -468,3 +469,20 @@
         assert rejected == [False, True, False, True], outcomes
 
     simulated_pool.run(simulate)
+
+
+def check_short_set_of_classes():
+    """Long answers of less urgent classes do not enlarge the short set.
+
+    Guards against a wave that turns most engines into ones that are kept.
+    """
+    engines = [path_properties.make_engine(number) for number in range(60)]
+    group = workload.DecodingGroup(max_gap_s=1.0, count=4, value=80.0)
+    load = workload.EndpointLoad(running=4, decoding_groups=(group,))
+    loads = {engine.id: load for engine in engines}
+    sizes = [
+        len(short_set.engines_for_short_prompts(engines, loads, 6, pause_s))
+        for pause_s in (None, 1.0, 0.25)
+    ]
+    assert sizes[0] > 36 and sizes[1] > 36, sizes
+    assert sizes[2] == 60 * short_set.MIN_SET_SHARE, sizes
