--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -64,6 +64,8 @@
       | waiting_room         | Requests that wait at a VM                                 |
       | waiting_bounds       | More waiting requests than a VM holds                      |
       | memory_and_outcomes  | Requests that wait for the memory of four engines          |
+      | pool_of_one_engine   | A long prompt before a single engine                       |
+      | short_set_of_classes | Engines for short prompts beside many long answers         |
       | refused_memory       | Prompts of two VMs that choose the same memory             |
       | wave_of_long_prompts | A wave of long prompts before 69 engines                   |
       | hedges_within_share  | Hedges of eight VMs that know nothing of each other        |
