--- a/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
+++ b/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
@@ -41,6 +41,14 @@
     # Sends a stream without a length and ends like a crashed process after a
     # complete event.
     NO_LENGTH_CRASH = 'unframed crash'
+    # Sends a body without a length and ends like a crashed process before the
+    # body is complete, with all connections. The listener ends later than the
+    # connections, or another run of the endpoint, an endpoint with another id
+    # or a process that answers nothing listens at the address at once.
+    NO_LENGTH_LATE_CRASH = 'unframed late crash'
+    NO_LENGTH_RESTART = 'unframed restart'
+    NO_LENGTH_REUSE = 'unframed reuse'
+    NO_LENGTH_SILENCE = 'unframed silence'
     # Closes the connection in the middle of the response's head.
     PARTIAL_HEAD = 'cut head'
     # Resets the connection in the middle of a server-sent event.
@@ -49,6 +57,19 @@
     ENCODED = 'encoded'
     # Responds 503 with `X-Not-Executed` before the engine reads the body.
     EARLY_RESPONSE = 'early'
+    # Executes the request and responds before the engine reads the body, which
+    # is read after a pause. A stream pauses after its first event until then.
+    LATE_BODY = 'late body'
+    # Executes the request, responds without reading the body, and closes the
+    # connection, or resets it.
+    UNREAD_CLOSE = 'unread close'
+    UNREAD_RESET = 'unread reset'
+    # Executes the request, reads no more than its head, and does not respond.
+    UNREAD_SILENCE = 'unread silence'
+    # Like `UNREAD_SILENCE`; after a pause, acknowledges nothing any more.
+    UNREAD_DEATH = 'unread death'
+    # Reads the whole request; after a pause, acknowledges nothing any more.
+    READ_DEATH = 'read death'
     # Executes the request and sends bytes until the client disconnects: a
     # header, informational responses, a body without a length, or a stream
     # without the end of an event.
@@ -70,21 +91,42 @@
         Fault.SLOW_ENDLESS_EVENT,
     )
 )
-# Faults that send a body without a length.
-UNFRAMED_FAULTS: Final = frozenset(
+# Faults that end all connections of the engine between two events, as a crash
+# of the process does.
+CRASH_FAULTS: Final = frozenset(
     (
-        Fault.NO_LENGTH,
-        Fault.NO_LENGTH_RESET,
-        Fault.NO_LENGTH_PARTIAL_EVENT,
         Fault.NO_LENGTH_CRASH,
+        Fault.NO_LENGTH_LATE_CRASH,
+        Fault.NO_LENGTH_RESTART,
+        Fault.NO_LENGTH_REUSE,
+        Fault.NO_LENGTH_SILENCE,
     )
 )
+# Faults that send a body without a length.
+UNFRAMED_FAULTS: Final = CRASH_FAULTS | {
+    Fault.NO_LENGTH,
+    Fault.NO_LENGTH_RESET,
+    Fault.NO_LENGTH_PARTIAL_EVENT,
+}
 # Faults that break a stream off.
-BREAKING_FAULTS: Final = frozenset(
+BREAKING_FAULTS: Final = CRASH_FAULTS | {
+    Fault.PARTIAL_EVENT,
+    Fault.NO_LENGTH_RESET,
+    Fault.NO_LENGTH_PARTIAL_EVENT,
+}
+# Of these, the faults that break a stream off after a complete event.
+BREAKS_BETWEEN_EVENTS: Final = CRASH_FAULTS | {Fault.NO_LENGTH_RESET}
+# Faults that leave the body unread when the engine begins to respond.
+UNREAD_FAULTS: Final = frozenset(
     (
-        Fault.PARTIAL_EVENT,
-        Fault.NO_LENGTH_RESET,
-        Fault.NO_LENGTH_PARTIAL_EVENT,
-        Fault.NO_LENGTH_CRASH,
+        Fault.LATE_BODY,
+        Fault.UNREAD_CLOSE,
+        Fault.UNREAD_RESET,
+        Fault.UNREAD_SILENCE,
+        Fault.UNREAD_DEATH,
     )
 )
+# Faults after which the engine only waits for the end of the connection.
+SILENT_FAULTS: Final = frozenset(
+    (Fault.UNREAD_SILENCE, Fault.UNREAD_DEATH, Fault.READ_DEATH)
+)
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import itertools
 import time
 from typing import Any, Final
@@ -15,54 +14,14 @@
 import orjson
 
 from . import engine_faults
+from . import engine_records
+from . import late_reading
 from . import raw_responses
 
 _NS_PER_MS: Final = 1_000_000
-_BREAKS_BETWEEN_EVENTS: Final = frozenset(
-    (
-        engine_faults.Fault.NO_LENGTH_RESET,
-        engine_faults.Fault.NO_LENGTH_CRASH,
-    )
-)
-
-
-# Pause between two bytes of `Fault.SLOW_ENDLESS_EVENT`, in seconds.
-SLOW_BYTE_INTERVAL_S: Final = 0.1
-
-
-@dataclasses.dataclass
-class ReceivedRequest:
-    """One request as the engine received it."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    # Whether the engine executed the request.
-    has_run: bool = False
-    # Whether the client disconnected before the response was complete.
-    client_disconnected: bool = False
-    # On the monotonic clock, in seconds.
-    received_at_s: float = dataclasses.field(default_factory=time.monotonic)
-    # Run of the engine, by its start in Unix milliseconds.
-    run_started_at_ms: int = 0
-    # What the engine says of itself in the response.
-    says_leaving: bool = False
-    retry_after: str | None = None
-
-    @property
-    def attempt_id(self) -> str:
-        """The id of the client's attempt; empty if there is none."""
-        return self.headers.get('x-attempt-id', '')
-
-
-@dataclasses.dataclass
-class Reservation:
-    """Engine memory reserved for a request."""
-
-    tokens: int
-    # Expiry on the monotonic clock, in seconds.
-    expires_at_s: float
+# Time for which the listener of an engine outlives the connections in
+# `Fault.NO_LENGTH_LATE_CRASH`, in seconds.
+LISTENER_OUTLIVES_S: Final = 0.15
 
 
 class SealedEngine:
@@ -87,15 +46,24 @@
         self.answer_delay_s = 0.0
         # Time from the head of a stream to its first event, in seconds.
         self.event_delay_s = 0.0
+        # Pause before `Fault.LATE_BODY` reads a body, and before the faults
+        # after which nothing is acknowledged take effect, in seconds.
+        self.late_read_s = 0.3
+        # Sizes of receive buffers and segments of connections; 0 leaves them
+        # to the system.
+        self.receive_buffer_bytes = 0
+        self.segment_bytes = 0
         self.body = b'{"ok":true}'
         self.faults: list[engine_faults.Fault] = []
+        # Bytes of one more header in responses, without the line break.
+        self.raw_header = b''
         # Number of bytes of the head sent by `Fault.PARTIAL_HEAD`.
         self.head_bytes = 0
         # Size of the whole head of that response.
         self.full_head_bytes = 0
         # Number of complete events sent before `Fault.PARTIAL_EVENT` applies.
         self.events_before_reset = 3
-        self.received: list[ReceivedRequest] = []
+        self.received: list[engine_records.ReceivedRequest] = []
         # Bytes sent by the faults that end only when the client disconnects.
         self.endless_bytes = 0
         # Requests per second that answers name as the limit; None names none.
@@ -107,15 +75,23 @@
         self.retry_after: str | None = None
         # When this run of the engine started, in Unix milliseconds.
         self.started_at_ms = time.time_ns() // _NS_PER_MS
-        # Id of a part of prompts that ends this engine as it begins to answer.
+        # Id of a part of prompts, id of a last part, and body of a request, of
+        # which each ends this engine as it begins to answer.
         self.deadly_part = ''
+        self.deadly_last_part = ''
+        self.deadly_body: bytes | None = None
         # Called when the engine has ended by itself.
         self.on_end: Callable[[], None] = lambda: None
         self.has_ended = False
+        # Whether connections are accepted, but no request is answered.
+        self.is_silent = False
+        # Whether the engine offers a report, and the number of reads of it.
+        self.has_report = True
+        self.report_reads = 0
         self.orders: list[dict[str, Any]] = []
         # Whether the engine carries out orders without responding to them.
         self.drops_order_responses = False
-        self.reservations_by_id: dict[str, Reservation] = {}
+        self.reservations_by_id: dict[str, engine_records.Reservation] = {}
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._numbers = itertools.count()
@@ -137,7 +113,10 @@
     async def start(self) -> None:
         """Starts to listen on the engine's port."""
         self._server = await asyncio.start_server(
-            self._serve_connection, '127.0.0.1', self.port
+            self._serve_connection,
+            sock=late_reading.open_listener(
+                self.port, self.receive_buffer_bytes, self.segment_bytes
+            ),
         )
 
     async def stop(self) -> None:
@@ -150,9 +129,31 @@
         self.has_ended = True
         if self._server is not None:
             self._server.close()
+        self.end_connections()
+        self.on_end()
+
+    def end_connections(self) -> None:
+        """Ends all connections, in order unless data is unread."""
         for writer in list(self._writers):
             writer.transport.abort()
-        self.on_end()
+
+    def crash(self, fault: engine_faults.Fault) -> None:
+        """Ends like a crashed process, in the way that a fault describes."""
+        if fault is engine_faults.Fault.NO_LENGTH_CRASH:
+            self.end()
+            return
+        self.end_connections()
+        if fault is engine_faults.Fault.NO_LENGTH_RESTART:
+            self.restart()
+            self.on_end()
+        elif fault is engine_faults.Fault.NO_LENGTH_REUSE:
+            self.name = f'{self.name}-another'
+        else:
+            self.is_silent = True
+        if fault is engine_faults.Fault.NO_LENGTH_LATE_CRASH:
+            asyncio.get_running_loop().call_later(
+                LISTENER_OUTLIVES_S, self.end
+            )
 
     def restart(self) -> None:
         """Begins another run of the engine under the same id and address."""
@@ -160,17 +161,15 @@
         self.retry_after = None
         self.started_at_ms += 1
 
-    def executed_requests(self) -> list[ReceivedRequest]:
+    def executed_requests(self) -> list[engine_records.ReceivedRequest]:
         """Returns the requests that the engine executed."""
         return [request for request in self.received if request.has_run]
 
     def reserved_tokens(self) -> int:
         """Returns the memory of all unexpired reservations, in tokens."""
-        now_s = time.monotonic()
         return sum(
-            reservation.tokens
-            for reservation in self.reservations_by_id.values()
-            if reservation.expires_at_s > now_s
+            ticket['tokens']
+            for ticket in engine_records.tickets(self.reservations_by_id)
         )
 
     async def _serve_connection(
@@ -178,6 +177,9 @@
     ) -> None:
         self._writers.add(writer)
         try:
+            if self.is_silent:
+                await reader.read()
+                return
             while await self._serve_request(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError):
@@ -204,7 +206,7 @@
         is_order = target == '/api/order'
         if self.faults and not target.startswith('/api/'):
             fault = self.faults.pop(0)
-        request = ReceivedRequest(method, target, headers, b'')
+        request = engine_records.ReceivedRequest(method, target, headers, b'')
         if fault is engine_faults.Fault.EARLY_RESPONSE:
             self.received.append(request)
             writer.write(
@@ -213,13 +215,20 @@
             await asyncio.sleep(0.2)
             request.body = await reader.read(1 << 22)
             return False
-        request.body = await reader.readexactly(
-            int(headers.get('content-length', 0))
-        )
+        size = int(headers.get('content-length', 0))
+        if self.retry_after is not None:
+            # The request is turned away below.
+            fault = None
+        if fault is engine_faults.Fault.LATE_BODY:
+            request.late_body = asyncio.ensure_future(
+                late_reading.read_body(reader, writer, size, self.late_read_s)
+            )
+        elif fault not in engine_faults.UNREAD_FAULTS:
+            request.body = await reader.readexactly(size)
         if is_order:
             return self._handle_order(request, writer)
         if target == '/api/report':
-            return self._send_report(writer)
+            return self._send_report(request, writer)
         request.run_started_at_ms = self.started_at_ms
         request.says_leaving = self.is_leaving
         request.retry_after = self.retry_after
@@ -240,27 +249,58 @@
                 )
             )
             return True
-        disconnect = asyncio.ensure_future(reader.read(1))
+        if fault in engine_faults.SILENT_FAULTS:
+            request.has_run = True
+            if fault is not engine_faults.Fault.UNREAD_SILENCE:
+                await asyncio.sleep(self.late_read_s)
+                late_reading.drop_packets(writer)
+            await late_reading.wait_hang_up(writer)
+            request.hung_up_at_s = time.monotonic()
+            return False
+        disconnect = asyncio.ensure_future(self._read_surplus(request, reader))
         try:
-            return await self._respond(request, fault, writer, disconnect)
+            is_kept = await self._respond(request, fault, writer, disconnect)
+            if request.late_body is not None:
+                # Reads what follows the body, until the connection ends.
+                request.surplus = await disconnect
+                return False
+            if fault is engine_faults.Fault.UNREAD_RESET:
+                raw_responses.reset(writer)
+            return is_kept and fault not in engine_faults.UNREAD_FAULTS
         finally:
             disconnect.cancel()
             await asyncio.wait([disconnect])
 
-    def _is_deadly(self, request: ReceivedRequest) -> bool:
-        parts = request.headers.get('x-prompt-prefix', '').split(',')
-        shared = [part.partition(':')[0].strip() for part in parts[:-1]]
-        return self.deadly_part in shared
+    async def _read_surplus(
+        self,
+        request: engine_records.ReceivedRequest,
+        reader: asyncio.StreamReader,
+    ) -> bytes:
+        """Returns the first byte after a request; empty at the end."""
+        if request.late_body is not None:
+            request.body = await request.late_body
+        return await reader.read(1)
+
+    def _is_deadly(self, request: engine_records.ReceivedRequest) -> bool:
+        entries = request.headers.get('x-prompt-prefix', '').split(',')
+        *shared, last = [entry.partition(':')[0].strip() for entry in entries]
+        return (
+            self.deadly_part in shared
+            or ('' != last == self.deadly_last_part)
+            or request.body == self.deadly_body
+        )
 
     def _handle_order(
-        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+        self,
+        request: engine_records.ReceivedRequest,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         order = orjson.loads(request.body)
         self.orders.append(order)
         now_s = time.monotonic()
         status = 200
         if order['operation'] == 'reserve':
-            self.reservations_by_id[order['id']] = Reservation(
+            self.reservations_by_id[order['id']] = engine_records.Reservation(
                 order['tokens'], now_s + order['holdMs'] / 1000
             )
         elif self.reservations_by_id.pop(order['id'], None) is None:
@@ -290,30 +330,28 @@
             lines.append(f'Retry-After: {self.retry_after}')
         return lines
 
-    def _send_report(self, writer: asyncio.StreamWriter) -> bool:
-        now_s = time.monotonic()
-        body = orjson.dumps(
-            {
-                'tickets': [
-                    {
-                        'id': reservation_id,
-                        'tokens': reservation.tokens,
-                        'state': 'held',
-                        'ageMs': 0,
-                    }
-                    for reservation_id, reservation in (
-                        self.reservations_by_id.items()
-                    )
-                    if reservation.expires_at_s > now_s
-                ]
-            }
-        )
-        writer.write(self._format_json(200, body))
+    def _send_report(
+        self,
+        request: engine_records.ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        self.report_reads += 1
+        if request.headers.get('x-expect-instance', self.name) != self.name:
+            writer.write(raw_responses.rejection('421 Misdirected', ''))
+            return True
+        if not self.has_report:
+            writer.write(self._format_json(404, b'{}'))
+            return True
+        report = {
+            'tickets': engine_records.tickets(self.reservations_by_id),
+            'born': self.started_at_ms,
+        }
+        writer.write(self._format_json(200, orjson.dumps(report)))
         return True
 
     async def _respond(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
@@ -347,11 +385,11 @@
         if self.events and fault is not engine_faults.Fault.PLAIN_RESPONSE:
             return await self._send_stream(request, fault, writer, disconnect)
         await asyncio.sleep(self.answer_delay_s)
-        return self._send_plain(request, fault, writer)
+        return await self._send_plain(request, fault, writer)
 
     def _format_head(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault | None,
         extra: str,
     ) -> bytes:
@@ -371,11 +409,15 @@
             lines.append('Content-Encoding: gzip')
         lines.append('X-Engine-Load: 1,0,8')
         lines += self._notice_lines()
-        return '\r\n'.join(lines).encode() + raw_responses.HEAD_END
+        # Header values of requests are repeated byte for byte.
+        head = '\r\n'.join(lines).encode('latin-1')
+        if self.raw_header:
+            head += b'\r\n' + self.raw_header
+        return head + raw_responses.HEAD_END
 
     async def _send_without_end(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault,
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
@@ -386,22 +428,8 @@
             fault,
             'Content-Type: text/event-stream\r\nConnection: close',
         )
-        start, filler = {
-            engine_faults.Fault.ENDLESS_HEADER: (
-                b'HTTP/1.1 200 OK\r\nX: ',
-                b'a' * 4096,
-            ),
-            engine_faults.Fault.ENDLESS_INFORMATIONAL: (
-                b'',
-                b'HTTP/1.1 103 Early Hints\r\n\r\n' * 100,
-            ),
-            engine_faults.Fault.ENDLESS_BODY: (
-                self._format_head(request, fault, 'Connection: close'),
-                b'a' * 4096,
-            ),
-            engine_faults.Fault.ENDLESS_EVENT: (stream, b'a' * 4096),
-            engine_faults.Fault.SLOW_ENDLESS_EVENT: (stream, b'a'),
-        }[fault]
+        plain = self._format_head(request, fault, 'Connection: close')
+        start, filler = raw_responses.endless_parts(fault, plain, stream)
         is_slow = fault is engine_faults.Fault.SLOW_ENDLESS_EVENT
         writer.write(start)
         try:
@@ -409,23 +437,28 @@
                 self.endless_bytes += len(filler)
                 writer.write(filler)
                 await writer.drain()
-                await asyncio.sleep(SLOW_BYTE_INTERVAL_S if is_slow else 0.0)
+                await asyncio.sleep(
+                    raw_responses.SLOW_BYTE_INTERVAL_S if is_slow else 0.0
+                )
         finally:
             request.client_disconnected = True
 
-    def _send_plain(
+    async def _send_plain(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
     ) -> bool:
         length = f'Content-Length: {len(self.body)}'
-        if fault in (
-            engine_faults.Fault.NO_LENGTH,
-            engine_faults.Fault.NO_LENGTH_RESET,
-        ):
+        if fault in engine_faults.UNFRAMED_FAULTS:
             length = 'Connection: close'
         response = self._format_head(request, fault, length) + self.body
+        if fault in engine_faults.CRASH_FAULTS:
+            writer.write(response[: -len(self.body) // 2])
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            self.crash(fault)
+            return False
         writer.write(response)
         if fault is engine_faults.Fault.DUPLICATE_RESPONSE:
             writer.write(response)
@@ -438,7 +471,7 @@
 
     async def _send_stream(
         self,
-        request: ReceivedRequest,
+        request: engine_records.ReceivedRequest,
         fault: engine_faults.Fault | None,
         writer: asyncio.StreamWriter,
         disconnect: 'asyncio.Future[bytes]',
@@ -468,19 +501,22 @@
                 and number == first + self.events_before_reset
             ):
                 part = event[: len(event) // 2]
-                if fault in _BREAKS_BETWEEN_EVENTS:
+                if fault in engine_faults.BREAKS_BETWEEN_EVENTS:
                     part = b''
                 writer.write(raw_responses.chunk(part) if is_chunked else part)
                 await writer.drain()
                 await asyncio.sleep(0.02)
-                if fault is engine_faults.Fault.NO_LENGTH_CRASH:
-                    self.end()
+                if fault in engine_faults.CRASH_FAULTS:
+                    self.crash(fault)
                 elif fault is not engine_faults.Fault.NO_LENGTH_PARTIAL_EVENT:
                     raw_responses.reset(writer)
                 return False
             writer.write(raw_responses.chunk(event) if is_chunked else event)
             await writer.drain()
-            await asyncio.sleep(self.event_interval_s)
+            if request.late_body is not None:
+                await asyncio.wait([request.late_body])
+            if number + 1 < self.events:
+                await asyncio.wait([disconnect], timeout=self.event_interval_s)
             if disconnect.done():
                 request.client_disconnected = True
                 return False
--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -13,13 +13,12 @@
 import functools
 import logging
 import math
-from typing import Any, Final
+from typing import Final
 
 from galenaquay_api import fleet_grpc
 from galenaquay_api import fleet_pb2
 import grpclib.client
 import grpclib.exceptions
-import grpclib.server
 
 from .. import ids
 from .. import tasks
@@ -33,10 +32,12 @@
 from ..limits import named_limits as named_limits_module
 from ..limits import orphaned_memory
 from ..limits import quarantine as quarantine_module
+from . import member_lists
 from ..membership import fleet as fleet_module
 from ..membership import hedging
 from ..membership import revisions as revisions_module
 from . import reply_loads
+from ..waiting import sums as waiting_sums
 
 LOG: Final = logging.getLogger(__name__)
 # Timeout for the reply to a report, in seconds.
@@ -55,11 +56,6 @@
 MESH_REPORTS_PER_S: Final = 40.0
 # Interval between reports to one hub, in seconds.
 HUB_INTERVAL_S: Final = 0.5
-# Shortest time between two lists of the members in a hub's replies to one VM
-# that knows other members, and longest time if it knows the same, in seconds.
-# The lists also tell that members are alive.
-MEMBER_LIST_MIN_INTERVAL_S: Final = 0.4
-MEMBER_LIST_MAX_INTERVAL_S: Final = 2.5
 # A VM asks the other hub of its zone for the loads if the preferred one has
 # not replied for this time, in seconds.
 HUB_SILENCE_S: Final = 0.75
@@ -107,6 +103,7 @@
         quarantine: quarantine_module.Quarantine,
         named_limits: named_limits_module.NamedLimits,
         availability: availability_module.Availability,
+        waiting: waiting_sums.WaitingSums,
     ) -> None:
         self.is_leaving = False
         self._fleet = fleet
@@ -121,14 +118,14 @@
         self._quarantine = quarantine
         self._named_limits = named_limits
         self._availability = availability
+        self._waiting = waiting
         self._report_number = 0
         self._last_number_by_process: dict[tuple[ids.VmId, int], int] = {}
         self._tasks_by_address: dict[str, asyncio.Task[None]] = {}
         self._reply_loads = reply_loads.ReplyLoads(workload, workload.now_s)
-        # When each VM has last replied, by its address, and when a reply has
-        # last listed the members to it.
+        self._member_lists = member_lists.MemberLists(fleet, workload.now_s)
+        # When each VM has last replied, by its address.
         self._replied_at_s: dict[str, float] = {}
-        self._listed_at_s: dict[ids.VmId, float] = {}
         # When a hub of this zone has last told the loads of other VMs.
         self._loads_at_s = float('-inf')
         self._loads_told = asyncio.Event()
@@ -303,9 +300,22 @@
             self._loads_at_s = self._workload.now_s()
             self._loads_told.set()
             self._loads_told = asyncio.Event()
+        self._replace_peer(_zone_key(hub.zone), reply)
+
+    def _replace_peer(
+        self,
+        peer: ids.VmId,
+        message: fleet_pb2.LoadReport | fleet_pb2.LoadReply,
+    ) -> None:
+        """Replaces what a peer has reported of its requests."""
         self._workload.replace_peer_loads(
-            _zone_key(hub.zone),
-            fleet_messages.loads_from_messages(reply.loads),
+            peer,
+            fleet_messages.loads_from_messages(message.loads),
+            self._valid_s(),
+        )
+        self._waiting.replace_peer_sums(
+            peer,
+            fleet_messages.waiting_from_messages(message.waiting),
             self._valid_s(),
         )
 
@@ -324,13 +334,31 @@
         """
         if self._fleet.is_mesh() or report.omit_loads:
             return []
+        return self._reply_loads.messages_for(
+            member.vm_id, self._excluded_for(member)
+        )
+
+    def _waiting_for(
+        self, member: fleet_module.Member, report: fleet_pb2.LoadReport
+    ) -> list[fleet_pb2.WaitingSum]:
+        """Returns the waiting requests that a reply contains."""
+        if self._fleet.is_mesh() or report.omit_loads:
+            return []
+        return fleet_messages.waiting_messages(
+            self._waiting.sums_excluding(
+                {member.vm_id, *self._excluded_for(member)}
+            )
+        )
+
+    def _excluded_for(
+        self, member: fleet_module.Member
+    ) -> frozenset[ids.VmId]:
+        """Returns the peers that a reply to a member says nothing of."""
         excluded = {_zone_key(self._fleet.me.zone)}
         if member.zone != self._fleet.me.zone:
             # Hubs of other zones receive only the loads of this zone.
             excluded.update(map(_zone_key, self._fleet.zones()))
-        return self._reply_loads.messages_for(
-            member.vm_id, frozenset(excluded)
-        )
+        return frozenset(excluded)
 
     def _omits_loads(self, address: str) -> bool:
         """Returns whether the reply of a hub need not contain the loads.
@@ -387,6 +415,7 @@
             seen_incarnation=progress.incarnation,
             members_digest=self._fleet.members_digest(),
             omit_loads=progress.has_omitted_loads,
+            waiting=fleet_messages.waiting_messages(self._waiting.own_sums()),
         )
 
     def handle_report(
@@ -409,11 +438,7 @@
             # In a large fleet the loads of other zones come from the replies
             # of their hubs.
             if self._fleet.is_mesh() or sender.zone == self._fleet.me.zone:
-                self._workload.replace_peer_loads(
-                    sender.vm_id,
-                    fleet_messages.loads_from_messages(report.loads),
-                    self._valid_s(),
-                )
+                self._replace_peer(sender.vm_id, report)
             self._orphans.record_report(
                 sender.vm_id,
                 sender.incarnation,
@@ -436,7 +461,7 @@
             sender=fleet_messages.member_message(self._fleet.me),
             members=map(
                 fleet_messages.gossip_entry_message,
-                self._listed_members(sender, report.members_digest),
+                self._member_lists.list_for(sender, report.members_digest),
             ),
             loads=self._loads_for(sender, report),
             config_version=table.version if table is not None else 0,
@@ -454,42 +479,9 @@
             ),
             leaving_runs=self._availability.reports_after(seen_revision),
             revision=self._revisions.newest,
+            waiting=self._waiting_for(sender, report),
         )
 
-    def _listed_members(
-        self, receiver: fleet_module.Member, known_digest: int
-    ) -> list[fleet_module.GossipEntry]:
-        """Returns the members that a reply lists.
-
-        Args:
-            receiver: The member that receives the reply.
-            known_digest: The digest of the members that it knows.
-        """
-        now_s = self._workload.now_s()
-        listed_at_s = self._listed_at_s.get(receiver.vm_id, float('-inf'))
-        interval_s = MEMBER_LIST_MIN_INTERVAL_S
-        if known_digest == self._fleet.members_digest():
-            interval_s = MEMBER_LIST_MAX_INTERVAL_S
-        if not self._fleet.is_mesh() and now_s - listed_at_s < interval_s:
-            return []
-        self._listed_at_s[receiver.vm_id] = now_s
-        return self._fleet.gossip_entries()
-
-
-class FleetServer(fleet_grpc.FleetBase):
-    """Implements the gRPC service `Fleet`."""
-
-    def __init__(self, reports: FleetReports) -> None:
-        self._reports = reports
-
-    async def Report(  # noqa: N802
-        self, stream: 'grpclib.server.Stream[Any, Any]'
-    ) -> None:
-        """Handles one load report."""
-        report = await stream.recv_message()
-        if report is not None:
-            await stream.send_message(self._reports.handle_report(report))
-
 
 def _zone_key(zone: ids.ZoneName) -> ids.VmId:
     """Returns the key in `Workload` of the total loads of a zone."""
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -12,13 +12,18 @@
 from ..engines import reliability as reliability_module
 from ..engines import usual_times as usual_times_module
 from ..engines import workload as workload_module
+from . import hedging as hedging_module
 from ..limits import attempt_budget
 from ..limits import availability as availability_module
 from ..limits import group_memory
 from ..limits import named_limits as named_limits_module
 from ..limits import quarantine as quarantine_module
+from ..limits import trial_grants as trial_grants_module
 from ..ports import exchange
+from . import response_ends as response_ends_module
 from ..routing import placement as placement_module
+from ..waiting import room as room_module
+from ..waiting import sums as sums_module
 
 
 class Lifetime:
@@ -73,7 +78,13 @@
     usual_times: usual_times_module.UsualTimes
     lifetime: Lifetime
     quarantine: quarantine_module.Quarantine
+    trial_grants: trial_grants_module.TrialGrants
     named_limits: named_limits_module.NamedLimits
     availability: availability_module.Availability
+    response_ends: response_ends_module.ResponseEnds
     # Gets the present loads of endpoints, or gives up soon.
     refresh_loads: Callable[[], Awaitable[None]]
+    # The requests that wait for capacity.
+    room: room_module.Room
+    waiting_sums: sums_module.WaitingSums
+    hedging: hedging_module.Hedging
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -12,12 +12,15 @@
 
 from .. import ids
 from . import admission
+from . import attempt_race
 from . import dependencies as dependencies_module
 from ..engines import workload as workload_module
 from ..limits import group_memory
 from ..limits import quarantine as quarantine_module
 from ..ports import exchange
 from ..ports import reservations
+from . import quarantine_check as quarantine_check_module
+from . import response_body
 from ..routing import placement as placement_module
 from ..streams import event_cutter
 from ..streams import event_relay
@@ -35,9 +38,9 @@
 # callers accept, but at least a minimum in seconds.
 STALL_TIMEOUT_FACTOR: Final = 6.0
 MIN_STALL_TIMEOUT_S: Final = 1.7
-# Maximum size of a response that is not a stream, in bytes. Such a response is
-# kept in memory until it is complete.
-MAX_WHOLE_RESPONSE_BYTES: Final = 4 * 1024 * 1024
+# Interval between checks of whether a silent stream has an attempt left again
+# after a hedge that was not sent, in seconds.
+RECHECK_S: Final = 0.25
 
 
 @dataclasses.dataclass
@@ -49,6 +52,7 @@
     relay: event_relay.EventRelay
     # When the request was admitted, on the event loop's clock.
     started_s: float
+    quarantine_check: quarantine_check_module.QuarantineCheck
     # Number of attempts that were sent, or are being sent.
     attempts: int = 0
     # Latest response with a 5xx status. The caller receives this response
@@ -70,30 +74,24 @@
     return await anext(body, None)
 
 
-async def _read_whole(response: exchange.Response) -> bytes:
-    """Returns the body; raises ExchangeBrokenError if it is too large."""
-    parts: list[bytes] = []
-    size = 0
-    async for data in response.body():
-        size += len(data)
-        if size > MAX_WHOLE_RESPONSE_BYTES:
-            raise exchange.ExchangeBrokenError('the body is too large')
-        parts.append(data)
-    return b''.join(parts)
-
-
 class ForwardingAttempt:
     """Sends a request to the endpoints of one placement."""
 
+    placement: placement_module.Placement
     # When the attempt began, on the clock of the quarantine.
     began_at_s: float
+    # Whether the head of the response has arrived.
+    has_head: bool
 
     def __init__(
         self,
         dependencies: dependencies_module.Dependencies,
         forwarded: ForwardedRequest,
         placement: placement_module.Placement,
+        entrant: attempt_race.Entrant,
     ) -> None:
+        self.placement = placement
+        self._entrant = entrant
         self._dependencies = dependencies
         self._forwarded = forwarded
         self._admitted = forwarded.admitted
@@ -104,13 +102,22 @@
         self._loop = asyncio.get_running_loop()
         # When the request was sent, on the event loop's clock.
         self._sent_s = 0.0
+        # The timeout for the head, and when it expires if it is in effect.
+        self._head_timeout: asyncio.Timeout | None = None
+        self._head_timeout_at_s: float | None = None
         self.began_at_s = dependencies.quarantine.now_s()
+        self.has_head = False
+        self._body: response_body.ResponseBody | None = None
         # When the first event arrived.
         self._writing_since_s: float | None = None
         # Whether the attempt has shown that the prompt does not crash its
         # engine.
         self._is_answered = False
 
+    def run_state(self) -> exchange.RunState | None:
+        """Returns what a check at the end of the body has shown, if any."""
+        return None if self._body is None else self._body.run_state
+
     def writing_s(self) -> float | None:
         """Returns the time since the first event; None before it."""
         if self._writing_since_s is None:
@@ -130,6 +137,14 @@
             for endpoint_id, job in jobs:
                 self._dependencies.workload.remove(endpoint_id, job)
 
+    def update_timeout(self) -> None:
+        """Adapts the timeout to whether another attempt is allowed now."""
+        timeout = self._head_timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(
+                self._head_timeout_at_s if self._has_more_attempts() else None
+            )
+
     def _time_left_s(self) -> float:
         return self._admitted.deadline_s - self._loop.time()
 
@@ -180,6 +195,10 @@
                             exchange.Failure.NOT_SENT,
                             f'memory {reserved.outcome.value}',
                             reserved.part.endpoint.id,
+                            is_full=(
+                                reserved.outcome
+                                is reservations.Outcome.REFUSED
+                            ),
                         )
                     )
             helpers = tuple(
@@ -208,6 +227,7 @@
                 )
             else:
                 await self._relay_whole(response)
+            response.finish()
             return head.status
         except exchange.ExchangeBrokenError as exc:
             raise AttemptFailedError(
@@ -227,10 +247,13 @@
             self._time_left_s(),
             helpers,
             self._forwarded.relay.last_event_id,
+            self._admitted.priority_class,
         )
         timeout_s = self._first_byte_timeout_s()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
+                self._head_timeout_at_s = timeout.when()
+                self._head_timeout = timeout
                 response = await self._dependencies.exchange.send(
                     self._request, params
                 )
@@ -240,10 +263,13 @@
             raise AttemptFailedError(
                 exchange.SendError(exchange.Failure.TIMED_OUT, 'no answer')
             ) from None
+        finally:
+            self._head_timeout = None
         if isinstance(response, exchange.SendError):
             if response.notice is not None:
                 self._record_notice(response.notice, is_rejection=True)
             raise AttemptFailedError(response)
+        self.has_head = True
         self._record_notice(response.head.notice, is_rejection=False)
         return response
 
@@ -316,10 +342,12 @@
             AttemptFailedError: The status is 5xx and the request may be sent
                 again.
         """
-        body = await _read_whole(response)
-        await self._check_orderly_end(response)
+        if response.head.status < 500:
+            self._entrant.claim()
+        body = await self._start_body(response).read_whole()
         took_s = self._loop.time() - self._sent_s
         if response.head.status >= 500:
+            await self._entrant.hold(response.head, body)
             self._forwarded.error_response = (response.head, body)
             self._dependencies.reliability.record_success(
                 self._placement.endpoint.id
@@ -335,8 +363,22 @@
                 )
         else:
             self._record_success(took_s)
+            if response.head.is_success:
+                self._forwarded.quarantine_check.record_answer()
+        self._entrant.claim()
         await self._writer.send_whole(response.head, body)
 
+    def _start_body(
+        self, response: exchange.Response
+    ) -> response_body.ResponseBody:
+        self._body = response_body.ResponseBody(
+            response,
+            self._placement.endpoint,
+            self._request.id,
+            self._dependencies.response_ends,
+        )
+        return self._body
+
     def _record_success(self, took_s: float) -> None:
         endpoint_id = self._placement.endpoint.id
         self._dependencies.reliability.record_success(endpoint_id)
@@ -356,12 +398,13 @@
         jobs: list[tuple[ids.EndpointId, workload_module.Job]],
     ) -> None:
         cutter = event_cutter.EventCutter()
-        body = response.body()
+        body = self._start_body(response)
+        data_of_body = body.data()
         has_first_event = False
         event_at_s = self._loop.time()
         while True:
             data = await self._read_stream_data(
-                body, has_first_event, event_at_s
+                data_of_body, has_first_event, event_at_s
             )
             if data is None:
                 break
@@ -373,33 +416,17 @@
                 event_at_s = self._loop.time()
                 if not has_first_event:
                     has_first_event = True
+                    self._entrant.claim()
                     self._record_first_event(jobs)
                 else:
                     self._check_answered()
                 await self._forwarded.relay.pass_on(response.head, event)
-        if cutter.leftover():
-            raise exchange.ExchangeBrokenError('ended inside an event')
-        await self._check_orderly_end(response)
+        await body.check_end(is_inside_event=bool(cutter.leftover()))
+        self._entrant.claim()
         if not self._writer.is_started:
             await self._writer.start(response.head)
         await self._writer.finish()
-        self._dependencies.quarantine.record_answer(self._request.shared_parts)
-
-    async def _check_orderly_end(self, response: exchange.Response) -> None:
-        """Checks that a body without framing did not end with its endpoint.
-
-        The connections of a crashed process may end like those that it closes
-        after a complete body.
-
-        Raises:
-            exchange.ExchangeBrokenError: The endpoint has ended.
-        """
-        if not response.head.is_framed and (
-            await self._dependencies.exchange.has_ended(
-                self._placement.endpoint
-            )
-        ):
-            raise exchange.ExchangeBrokenError('ended with its endpoint')
+        self._forwarded.quarantine_check.record_answer()
 
     def _check_answered(self) -> None:
         """Records that the engine writes an answer, once it has for a time."""
@@ -409,9 +436,7 @@
             writing_s >= quarantine_module.BEGINNING_S
         ):
             self._is_answered = True
-            self._dependencies.quarantine.record_answer(
-                self._request.shared_parts
-            )
+            self._forwarded.quarantine_check.record_answer()
 
     async def _read_stream_data(
         self,
@@ -444,8 +469,8 @@
         read_task = asyncio.ensure_future(_read_next(body))
         try:
             await asyncio.wait([read_task], timeout=timeout_s)
-            if not read_task.done() and not self._has_more_attempts():
-                await asyncio.wait([read_task])
+            while not read_task.done() and not self._has_more_attempts():
+                await asyncio.wait([read_task], timeout=RECHECK_S)
             if read_task.done():
                 return read_task.result()
         finally:
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -10,15 +10,20 @@
 from typing import Final
 
 from .. import ids
+from .. import tasks
 from . import admission
 from . import dependencies as dependencies_module
 from ..engines import directory as directory_module
 from . import forwarding_attempt
+from . import hedged_attempts
 from ..limits import quarantine as quarantine_module
+from . import placing
 from ..ports import exchange
+from . import quarantine_check
 from . import refusals
 from ..routing import placement as placement_module
 from ..streams import event_relay
+from ..waiting import room as room_module
 
 LOG: Final = logging.getLogger(__name__)
 
@@ -32,6 +37,11 @@
 # Weight of a rejected request in the endpoint's failure statistics; other
 # failures have weight 1.
 REJECTION_WEIGHT: Final = 0.5
+# Longest time for which the next attempt waits to learn whether the engine of
+# the failed one has ended, in seconds.
+END_CHECK_WAIT_S: Final = 0.25
+# Checks for ended engines that are in progress.
+_END_CHECKS: Final[set[asyncio.Task[None]]] = set()
 
 
 class RequestForwarding:
@@ -56,11 +66,21 @@
         self._unsent_attempts = 0
         self._excluded: set[ids.EndpointId] = set()
         self._may_have_run = False
+        self._quarantine_check = quarantine_check.QuarantineCheck(
+            dependencies, admitted
+        )
         self._forwarded = forwarding_attempt.ForwardedRequest(
             admitted,
             writer,
             event_relay.EventRelay(writer, admitted.request.last_event_id),
             self._loop.time(),
+            self._quarantine_check,
+        )
+        self._placing = placing.Placing(
+            dependencies, admitted, self._forwarded.started_s
+        )
+        self._attempts = hedged_attempts.HedgedAttempts(
+            dependencies, self._forwarded, self._handle_failure
         )
 
     def _time_left_s(self) -> float:
@@ -81,6 +101,8 @@
         except asyncio.CancelledError:
             self._log_end('caller left')
             raise
+        finally:
+            self._quarantine_check.close()
 
     async def _attempt(self) -> bool:
         """Makes one attempt.
@@ -88,20 +110,17 @@
         Returns:
             Whether the request has ended; False if another attempt follows.
         """
-        blamed = self._dependencies.quarantine.find_blamed(
-            self._request.shared_parts
-        )
+        blamed = await self._quarantine_check.find_blamed(self._time_left_s())
         if blamed:
             await self._refuse_quarantined(blamed)
             return True
         if self._admitted.service.engine is not None:
             await self._dependencies.refresh_loads()
-        placement = self._place()
-        if placement is None:
-            await self._give_up('no endpoint can take it', 502)
-            return True
-        if placement.first_event_s > self._time_left_s():
-            await self._give_up('cannot be served in time', 502)
+        placement = await self._placing.find(
+            frozenset(self._excluded), may_wait=not self._writer.is_started
+        )
+        if isinstance(placement, room_module.Rejection):
+            await self._give_up(placement.reason, 502)
             return True
         if not self._writer.is_started and self._ends_after_shutdown(
             placement
@@ -111,18 +130,24 @@
         self._forwarded.attempts += 1
         self._dependencies.placer.note_sent(self._admitted.service, placement)
         self._log_placement(placement)
-        attempt = forwarding_attempt.ForwardingAttempt(
-            self._dependencies, self._forwarded, placement
-        )
         try:
-            status = await attempt.run()
+            status = await self._attempts.run(
+                placement, frozenset(self._excluded)
+            )
         except forwarding_attempt.AttemptFailedError as exc:
-            self._record_failure(placement, exc.error)
-            await self._check_ended(attempt, placement.endpoint, exc.error)
             return not await self._check_retry(exc.error)
         self._log_end('answered', status=status)
         return True
 
+    async def _handle_failure(
+        self,
+        attempt: forwarding_attempt.ForwardingAttempt,
+        error: exchange.SendError,
+    ) -> None:
+        """Records the failure of an attempt, and the end of its engine."""
+        self._record_failure(attempt.placement, error)
+        await self._start_end_check(attempt, attempt.placement.endpoint, error)
+
     async def _refuse_quarantined(
         self, blamed: frozenset[ids.PromptPartId]
     ) -> None:
@@ -149,27 +174,23 @@
         ends_at_s = self._loop.time() + expected_s * SHUTDOWN_TIME_FACTOR
         return ends_at_s > self._dependencies.lifetime.ends_at_s
 
-    def _place(self) -> placement_module.Placement | None:
-        placer = self._dependencies.placer
-        service = self._admitted.service
-        excluded = frozenset(self._excluded)
-        if service.engine is None:
-            return placer.place_call(service, excluded)
-        return placer.place_prompt(
-            self._request, self._route, service, service.engine, excluded
-        )
-
     def _record_failure(
         self,
         placement: placement_module.Placement,
         error: exchange.SendError,
     ) -> None:
         endpoint = placement.endpoint
+        self._log_failure(endpoint, error)
+        if self._returns_to_queue(error):
+            self._forwarded.attempts -= 1
+            self._placing.return_to_queue(ids.EndpointId(error.culprit))
+            return
         is_not_sent = error.failure is exchange.Failure.NOT_SENT
         if not (is_not_sent and error.culprit):
             self._excluded.add(endpoint.id)
         if not error.failure.is_not_run:
             self._may_have_run = True
+            self._quarantine_check.record_sent()
         if is_not_sent:
             self._forwarded.attempts -= 1
             self._unsent_attempts += 1
@@ -182,6 +203,8 @@
                 faulty_endpoint = helper
                 self._excluded.add(helper.id)
         is_rejected = error.failure is exchange.Failure.REJECTED
+        if is_rejected:
+            self._record_shortage()
         # An endpoint that asks for time is left out meanwhile, and no worse
         # than others afterwards.
         asks_for_time = error.notice is not None and error.notice.wait_s > 0
@@ -189,6 +212,18 @@
             self._dependencies.reliability.record_failure(
                 faulty_endpoint.id, REJECTION_WEIGHT if is_rejected else 1.0
             )
+
+    def _returns_to_queue(self, error: exchange.SendError) -> bool:
+        """Returns whether a failed attempt only found too little memory."""
+        return (
+            error.is_full
+            and self._placing.can_return()
+            and not self._writer.is_started
+        )
+
+    def _log_failure(
+        self, endpoint: directory_module.Endpoint, error: exchange.SendError
+    ) -> None:
         self._dependencies.metrics.count(
             'attempts_failed', failure=error.failure.value
         )
@@ -204,6 +239,29 @@
             },
         )
 
+    async def _start_end_check(
+        self,
+        attempt: forwarding_attempt.ForwardingAttempt,
+        endpoint: directory_module.Endpoint,
+        error: exchange.SendError,
+    ) -> None:
+        """Starts the check for an ended engine and waits a short time.
+
+        The next attempt uses the result if it comes in time. The caller does
+        not wait longer for an engine that is cut off or frozen.
+        """
+        check = tasks.start(
+            self._check_ended(attempt, endpoint, error), 'end of an engine'
+        )
+        _END_CHECKS.add(check)
+        check.add_done_callback(_END_CHECKS.discard)
+        await asyncio.wait([check], timeout=END_CHECK_WAIT_S)
+
+    def _record_shortage(self) -> None:
+        self._dependencies.hedging.record_shortage(
+            self._admitted.service.name, self._admitted.priority_class
+        )
+
     async def _check_ended(
         self,
         attempt: forwarding_attempt.ForwardingAttempt,
@@ -217,9 +275,13 @@
         if (
             error.failure is not exchange.Failure.BROKEN
             or self._admitted.service.engine is None
-            or not await self._dependencies.exchange.has_ended(endpoint)
         ):
             return
+        state = attempt.run_state()
+        if state is None:
+            state = await self._dependencies.exchange.find_run(endpoint)
+        if state is not exchange.RunState.ENDED:
+            return
         writing_s = attempt.writing_s()
         self._dependencies.metrics.count(
             'requests_lost_to_engine_ends', writing=writing_s is not None
@@ -232,14 +294,18 @@
                 'started_at_ms': endpoint.started_at_ms,
                 'attempt': self._forwarded.attempts,
                 'shared_parts': self._request.shared_parts,
+                'identities': self._quarantine_check.identities,
+                'has_head': attempt.has_head,
                 'writing_s': (
                     None if writing_s is None else round(writing_s, 4)
                 ),
             },
         )
         if writing_s is None or writing_s < quarantine_module.BEGINNING_S:
-            self._dependencies.quarantine.record_end(
-                endpoint, self._request.shared_parts, attempt.began_at_s
+            self._quarantine_check.record_end(
+                endpoint,
+                attempt.began_at_s,
+                is_before_head=not attempt.has_head,
             )
 
     async def _check_retry(self, error: exchange.SendError) -> bool:
@@ -249,6 +315,8 @@
             Whether another attempt follows. If False, the caller has already
             received a response or an error.
         """
+        if self._returns_to_queue(error):
+            return True
         if error.failure is exchange.Failure.NOT_SENT:
             if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
                 return True
@@ -297,6 +365,7 @@
             self._log_end('failed', status=status, reason=reason)
             return
         if retry_after_s is None:
+            self._record_shortage()
             retry_after_s = refusals.draw_retry_after_s(
                 self._dependencies.rng,
                 self._dependencies.availability.wait_s(
@@ -320,6 +389,7 @@
                 'endpoint': placement.endpoint.id,
                 'helpers': [helper.id for helper in placement.helpers],
                 'prompt_tokens': self._request.prompt_tokens,
+                'priority_class': self._admitted.priority_class,
                 'shared_parts': self._request.shared_parts,
                 'expected_s': round(placement.first_event_s, 4),
                 'loss': round(placement.loss, 3),
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -42,6 +42,8 @@
     # Parts of the prompt that other prompts may share, in order; without the
     # last part, which belongs to this request or its session.
     shared_parts: tuple[ids.PromptPartId, ...] = ()
+    # The last part; None if the request names no parts.
+    last_part: ids.PromptPartId | None = None
 
     @property
     def path(self) -> str:
@@ -71,6 +73,8 @@
     # Id of the event after which a stream is resumed; replaces the id in the
     # caller's request. None if the caller has received no event with an id.
     last_event_id: str | None = None
+    # Class by which engines order requests; None leaves the order to them.
+    priority_class: ids.PriorityClass | None = None
 
 
 class Failure(enum.Enum):
@@ -138,6 +142,8 @@
     culprit: str = ''
     # What the endpoint says of itself; None if there was no valid response.
     notice: Notice | None = None
+    # Whether the culprit refused memory that it did not have free.
+    is_full: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -164,6 +170,17 @@
     """The body of a response ended early or is invalid."""
 
 
+class RunState(enum.Enum):
+    """Whether the known run of an endpoint is alive."""
+
+    # The endpoint answers as the same run.
+    SAME = 'same'
+    # The connection is refused, or another run or endpoint answers.
+    ENDED = 'ended'
+    # Nothing answers in time; the endpoint may be cut off or frozen.
+    UNKNOWN = 'unknown'
+
+
 class Response(Protocol):
     """A response whose status and headers have arrived."""
 
@@ -173,8 +190,16 @@
         """Yields the body; raises ExchangeBrokenError if it ends early."""
         ...
 
+    def finish(self) -> None:
+        """Ends a response whose whole body was read.
+
+        An endpoint that keeps the connection open still receives the rest of
+        the request's body; `close` does nothing afterwards.
+        """
+        ...
+
     def close(self) -> None:
-        """Closes the connection, so that the endpoint cancels the request."""
+        """Aborts the connection, so that the endpoint cancels the request."""
         ...
 
 
@@ -187,8 +212,8 @@
         """Sends a request once and waits for the response headers."""
         ...
 
-    async def has_ended(self, endpoint: directory.Endpoint) -> bool:
-        """Returns whether no process listens at an endpoint's address."""
+    async def find_run(self, endpoint: directory.Endpoint) -> RunState:
+        """Returns whether an endpoint's own run answers at its address."""
         ...
 
 
--- a/packages/galenaquay/galenaquay/routing/placement.py
+++ b/packages/galenaquay/galenaquay/routing/placement.py
@@ -9,8 +9,8 @@
 where a constant is given as a share of the value.
 """
 
+from collections.abc import Iterator, Mapping
 import dataclasses
-import math
 import random
 from typing import Final
 
@@ -19,8 +19,10 @@
 from ..engines import directory as directory_module
 from ..engines import reliability as reliability_module
 from ..engines import workload as workload_module
+from . import kept_engines
 from ..limits import availability as availability_module
 from ..limits import endpoint_rates
+from . import losses
 from ..ports import exchange
 from . import short_set
 from . import step_times
@@ -38,20 +40,6 @@
 MIN_SPLIT_PREFILL_S: Final = 0.06
 # Prompt tokens that add one unit to the value of an answer.
 TOKENS_PER_VALUE_UNIT: Final = 10_000
-# Share of an answer's value that is lost if the answer is late.
-LATE_LOSS: Final = 0.75
-# Midpoint and width of the logistic curve that scales LATE_LOSS by the time to
-# the first event, as ratios of that time to the route's target time.
-LATENESS_MIDPOINT: Final = 0.85
-LATENESS_WIDTH: Final = 0.12
-# Midpoint and width of the logistic curve that scales LATE_LOSS by the pause
-# between two events, as ratios of the pause to the longest pause that the
-# caller accepts.
-GAP_MIDPOINT: Final = 0.88
-GAP_WIDTH: Final = 0.06
-# Share of an answer's value that is lost by waiting for the whole target time,
-# in addition to the loss for lateness. Grows linearly with the wait.
-LINEAR_WAIT_LOSS: Final = 0.05
 # Share of an answer's value that is lost if the prefill of its prompt is
 # delayed by its whole target time. Prefilling a part of another engine's
 # prompt causes such a delay.
@@ -72,6 +60,9 @@
 SHORT_OUTSIDE_SET_COST: Final = 0.05
 # Cost of placing a long prompt on an engine reserved for short prompts.
 LONG_INSIDE_SET_COST: Final = 2.0
+# The same in a pool with priority classes, if the part of the prompt leaves
+# short prompts enough time.
+GENTLE_INSIDE_SET_COST: Final = 0.3
 # Cost for a short prompt if all slots of an engine are taken; proportional to
 # the share of slots taken.
 OCCUPANCY_COST: Final = 0.04
@@ -125,7 +116,23 @@
     # Whether the engine is in the random sample for short prompts.
     is_sampled: bool
 
-    def segregation_loss(self, is_short: bool) -> float:
+    def may_prefill(
+        self, prefill_s: float, keep: kept_engines.KeepRule
+    ) -> bool:
+        """Returns whether the engine may prefill a part of a prompt."""
+        return keep.allows(
+            self.load,
+            prefill_s * self.slowdown,
+            self.decode_pass_s,
+            is_kept=self.is_for_short_prompts,
+        )
+
+    def segregation_loss(
+        self,
+        is_short: bool,
+        prefill_s: float,
+        keep: kept_engines.KeepRule | None,
+    ) -> float:
         """Returns the loss that keeps short and long prompts apart."""
         if is_short:
             outside = (
@@ -134,7 +141,13 @@
             if not self.is_sampled:
                 outside += NOT_SAMPLED_COST
             return outside + OCCUPANCY_COST * self.load.running / self.slots
-        return LONG_INSIDE_SET_COST if self.is_for_short_prompts else 0.0
+        if not self.is_for_short_prompts:
+            return 0.0
+        if keep is not None and keep.is_gentle(
+            self.load, prefill_s * self.slowdown, self.decode_pass_s
+        ):
+            return GENTLE_INSIDE_SET_COST
+        return LONG_INSIDE_SET_COST
 
 
 def answer_value(prompt_tokens: int) -> float:
@@ -142,25 +155,6 @@
     return 1 + prompt_tokens / TOKENS_PER_VALUE_UNIT
 
 
-def _logistic(x: float) -> float:
-    return 1 / (1 + math.exp(-max(-30.0, min(30.0, x))))
-
-
-def _wait_loss(first_event_s: float, target_s: float) -> float:
-    ratio = first_event_s / target_s
-    late = LATE_LOSS * _logistic((ratio - LATENESS_MIDPOINT) / LATENESS_WIDTH)
-    return late + LINEAR_WAIT_LOSS * ratio
-
-
-def _gap_loss(gap_s: float, load: workload_module.EndpointLoad) -> float:
-    return sum(
-        group.value
-        * LATE_LOSS
-        * _logistic((gap_s / group.max_gap_s - GAP_MIDPOINT) / GAP_WIDTH)
-        for group in load.decoding_groups
-    )
-
-
 class Placer:
     """Places requests by the latest known load and state of endpoints."""
 
@@ -248,40 +242,124 @@
         service: routes.Service,
         times: routes.EngineTimes,
         excluded: frozenset[ids.EndpointId],
+        keep: kept_engines.KeepRule | None = None,
     ) -> Placement | None:
         """Chooses the engines with the lowest estimated loss for a prompt.
 
         The loss sums over this request's caller and the callers of the
         requests that already run on the engines.
+
+        Args:
+            request: The request with the prompt.
+            route: The route of the request.
+            service: The pool.
+            times: The timing model of the engines.
+            excluded: Engines that are left out.
+            keep: Which engines are kept for more urgent requests; None if the
+                pool has no priority classes.
+        """
+        loads = self._workload.loads()
+        usable = self._usable_endpoints(service, excluded)
+        candidates = self._candidates(usable, times, loads, loads, keep)
+        return min(
+            self._options(candidates, request, route, times, keep),
+            key=lambda placement: placement.loss,
+            default=None,
+        )
+
+    def estimate_idle(
+        self,
+        request: exchange.Request,
+        route: routes.Route,
+        service: routes.Service,
+        times: routes.EngineTimes,
+        excluded: frozenset[ids.EndpointId],
+        keep: kept_engines.KeepRule,
+    ) -> kept_engines.IdleEstimate | None:
+        """Estimates the times of a prompt on idle engines.
+
+        Limits on the rate of requests are left out, since they allow another
+        request soon.
+
+        Returns:
+            The estimate; None if no engine could ever serve the request.
         """
-        candidates = self._candidates(service, times, excluded)
+        loads = self._workload.loads()
+        available = [
+            endpoint
+            for endpoint in self._availability.available(service.name)
+            if endpoint.id not in excluded
+        ]
+        idle = self._candidates(available, times, loads, {}, keep)
+        outside = [c for c in idle if not c.is_for_short_prompts]
+        options = list(self._options(idle, request, route, times, None))
+        if not options:
+            return None
+        usual = min(
+            list(self._options(outside, request, route, times, None))
+            or options,
+            key=lambda placement: placement.loss,
+        )
+        return kept_engines.IdleEstimate(
+            usual.first_event_s,
+            min(placement.first_event_s for placement in options),
+            usual.decode_s,
+        )
+
+    def _options(
+        self,
+        candidates: list[_Candidate],
+        request: exchange.Request,
+        route: routes.Route,
+        times: routes.EngineTimes,
+        keep: kept_engines.KeepRule | None,
+    ) -> Iterator[Placement]:
+        """Yields the best placement for each number of engines."""
         single_s = step_times.prefill_s(times, request.prompt_tokens)
         sizes = GROUP_SIZES if single_s > MIN_SPLIT_PREFILL_S else (1,)
-        best: Placement | None = None
         for size in sizes:
-            if size > len(candidates):
-                break
+            prefill_s = single_s / size
+            allowed = candidates
+            if keep is not None:
+                allowed = [
+                    c for c in candidates if c.may_prefill(prefill_s, keep)
+                ]
+            if size > len(allowed):
+                continue
             placement = self._place_on(
-                size, candidates, single_s / size, request, route, times
+                size, allowed, prefill_s, request, route, times, keep
             )
-            if placement is not None and (
-                best is None or placement.loss < best.loss
-            ):
-                best = placement
-        return best
+            if placement is not None:
+                yield placement
 
     def _candidates(
         self,
-        service: routes.Service,
+        usable: list[directory_module.Endpoint],
         times: routes.EngineTimes,
-        excluded: frozenset[ids.EndpointId],
+        known_loads: Mapping[ids.EndpointId, workload_module.EndpointLoad],
+        loads: Mapping[ids.EndpointId, workload_module.EndpointLoad],
+        keep: kept_engines.KeepRule | None,
     ) -> list[_Candidate]:
-        loads = self._workload.loads()
+        """Returns the engines that a prompt may be placed on.
+
+        Args:
+            usable: The engines.
+            times: The timing model of the engines.
+            known_loads: The loads by which engines for short prompts are
+                selected.
+            loads: The loads that the candidates have.
+            keep: Which engines are kept for more urgent requests.
+        """
         candidates = []
-        usable = self._usable_endpoints(service, excluded)
         short_ids = short_set.engines_for_short_prompts(
-            usable, loads, times.slots
+            usable,
+            known_loads,
+            times.slots,
+            keep.first_class_pause_s if keep else None,
         )
+        if keep is not None and len(short_ids) == len(usable):
+            # A pool of few engines has none for long prompts only.
+            short_ids = frozenset()
         sampled_ids = self._sample([e for e in usable if e.id in short_ids])
         for endpoint in usable:
             load = loads.get(endpoint.id, workload_module.EndpointLoad())
@@ -317,6 +395,7 @@
         request: exchange.Request,
         route: routes.Route,
         times: routes.EngineTimes,
+        keep: kept_engines.KeepRule | None,
     ) -> Placement | None:
         value = answer_value(request.prompt_tokens)
         is_short = size == 1 and prefill_s <= MIN_SPLIT_PREFILL_S
@@ -348,10 +427,10 @@
                 candidate.wait_s + own_prefill_s + candidate.decode_pass_s
             )
             return (
-                _gap_loss(gap_s, candidate.load)
-                + value * _wait_loss(first_event_s, route.target_s)
+                losses.gap_loss(gap_s, candidate.load)
+                + value * losses.wait_loss(first_event_s, route.target_s)
                 + value * candidate.base_loss
-                + candidate.segregation_loss(is_short)
+                + candidate.segregation_loss(is_short, prefill_s, keep)
                 + PREFILL_DELAY_LOSS
                 * own_prefill_s
                 * candidate.load.prefill_urgency
@@ -373,13 +452,13 @@
         chosen = [candidates[i] for i in (first, *helpers)]
         prefilled_s = max(c.wait_s + prefill_s * c.slowdown for c in chosen)
         first_event_s = prefilled_s + chosen[0].decode_pass_s
-        loss = value * _wait_loss(first_event_s, route.target_s)
+        loss = value * losses.wait_loss(first_event_s, route.target_s)
         for candidate in chosen:
             gap_s = (
                 candidate.load.prefill_s + prefill_s
             ) * candidate.slowdown + candidate.decode_pass_s
-            loss += _gap_loss(gap_s, candidate.load)
-            loss += candidate.segregation_loss(is_short)
+            loss += losses.gap_loss(gap_s, candidate.load)
+            loss += candidate.segregation_loss(is_short, prefill_s, keep)
         loss += value * chosen[0].base_loss
         for candidate in chosen[1:]:
             loss += value * candidate.base_loss * HELPER_FAILURE_SHARE
@@ -405,6 +484,10 @@
             * chosen[0].decode_pass_s,
         )
 
+    def is_cold(self, endpoint: directory_module.Endpoint) -> bool:
+        """Returns whether an endpoint is in cold start."""
+        return self._directory.is_cold(endpoint)
+
     def note_sent(self, service: routes.Service, placement: Placement) -> None:
         """Counts a sent request against the limits of its endpoints.
 
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -43,6 +43,50 @@
       | forgetting           | Shutdowns of endpoints that are or are not listed          |
       | bounded_records      | More shutdowns than a VM keeps records of                  |
       | wait_of_service      | Endpoints of a service that all ask for time               |
+      | priority_classes     | Priorities of accounts and routes                          |
+      | plain_services_without_classes | Priorities of routes to plain services           |
+      | priority_header      | Priority classes in requests to engines                    |
+      | waiting_sums         | Waiting requests of which sixty VMs report                 |
+      | blame_ends_by_trial  | A common part blamed for the crashes of another part       |
+      | trials_spare_engines | Trials of a part that crashes engines                      |
+      | trial_times          | Times and leases of trials                                 |
+      | trial_calls          | Trials that VMs request over gRPC                          |
+      | identical_requests_stay_free | Identical requests while engines crash by themselves |
+      | unknown_body_is_tried | A body that no engine has answered before engines crash   |
+      | identities_leave_room | Records of many requests beside those of shared parts     |
+<<<<<<< HEAD
+      | unframed_ends        | Closed responses without framing, by what is known of the run |
+      | ends_at_one_moment   | Responses that an endpoint which leaves closes together    |
+      | runs_by_list         | An endpoint without a report that is listed anew           |
+      | run_reports          | Answers to a read of an endpoint's report                  |
+      | waiting_order        | The order of waiting requests                              |
+      | waiting_decision     | Placing, waiting and rejecting                             |
+      | waiting_room         | Requests that wait at a VM                                 |
+      | waiting_bounds       | More waiting requests than a VM holds                      |
+      | memory_and_outcomes  | Requests that wait for the memory of four engines          |
+      | pool_of_one_engine   | A long prompt before a single engine                       |
+      | short_set_of_classes | Engines for short prompts beside many long answers         |
+      | refused_memory       | Prompts of two VMs that choose the same memory             |
+      | wave_of_long_prompts | A wave of long prompts before 69 engines                   |
+      | hedges_within_share  | Hedges of eight VMs that know nothing of each other        |
+      | hedges_use_share     | A share of hedges that is used up                          |
+      | hedge_obstacles      | Reasons against a hedge                                    |
+      | hedging_is_off       | Hedging without limits in the settings                     |
+      | hedge_delay          | The time after which a request is slow                     |
+      | hedge_kinds          | Requests that are not similar                              |
+      | hedge_delay_follows  | Response times that become longer or shorter               |
+      | hedge_delay_keeps    | Response times of requests that were hedged                |
+      | hedge_one_run        | Two attempts that run at the same time                     |
+      | hedge_wins           | A hedge that answers first                                 |
+      | hedge_loses          | A hedge that answers last                                  |
+      | hedge_fails          | A hedge that fails                                         |
+      | unsent_hedge         | A hedge for which there is no connection                   |
+      | hedge_after_failure  | A first attempt that fails beside its hedge                |
+      | hedge_error_responses | Two attempts that get error responses                     |
+      | no_hedge             | Requests that must not be hedged                           |
+      | hedge_long_prompts   | Hedges of long prompts                                     |
+=======
+>>>>>>> part-c
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -10,21 +10,37 @@
 from galenaquay_platform import orders
 from galenaquay_platform import serve
 from tests.properties import availability_properties
+from tests.properties import config_properties
 from tests.properties import document_properties
+from tests.properties import ends_properties
 from tests.properties import fleet_properties
+from tests.properties import hedged_attempt_properties
+from tests.properties import hedging_properties
+from tests.properties import late_body_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
+from tests.properties import priority_properties
 from tests.properties import quarantine_properties
 from tests.properties import sharing_properties
+from tests.properties import trial_properties
+from tests.properties import waiting_properties
 
 PROPERTY_MODULES = (
     availability_properties,
+    config_properties,
     document_properties,
+    ends_properties,
     fleet_properties,
+    hedged_attempt_properties,
+    hedging_properties,
+    late_body_properties,
     memory_properties,
     path_properties,
+    priority_properties,
     quarantine_properties,
     sharing_properties,
+    trial_properties,
+    waiting_properties,
 )
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 PRODUCT = ROOT / 'packages' / 'galenaquay' / 'galenaquay'
@@ -33,6 +49,7 @@
 LAYERS = (
     'adapters',
     'outcomes',
+    'waiting',
     'routing',
     'limits',
     'membership',
@@ -48,26 +65,57 @@
     ('galenaquayctl/clients.py', headers.TIME_LEFT_MS),
 }
 REQUEST_MODULES = (
+    'adapters/closing_sockets',
+    'adapters/body_transfers',
+    'adapters/endpoint_connections',
     'adapters/exchange_http',
     'adapters/fleet_grpc',
     'adapters/fleet_messages',
+    'adapters/fleet_server',
     'adapters/forward_front',
+    'adapters/half_closed',
+    'adapters/member_lists',
     'adapters/mirror_grpc',
+    'adapters/run_checks',
+    'adapters/raw_heads',
+    'adapters/socket_state',
+    'adapters/peer_liveness',
     'adapters/timed_connections',
+    'adapters/trial_grpc',
     'outcomes/admission',
+    'outcomes/attempt_race',
     'outcomes/dependencies',
     'outcomes/forwarding',
     'outcomes/forwarding_attempt',
+    'outcomes/hedge_placement',
+    'outcomes/hedged_attempts',
+    'outcomes/hedging',
     'outcomes/journeys',
+    'outcomes/quarantine_check',
+    'outcomes/placing',
     'outcomes/refusals',
+    'waiting/decision',
+    'waiting/order',
+    'waiting/room',
+    'waiting/sums',
+    'outcomes/response_body',
+    'outcomes/response_ends',
+    'routing/kept_engines',
+    'routing/losses',
     'routing/placement',
+    'routing/short_set',
     'routing/step_times',
     'limits/attempt_budget',
     'limits/availability',
+    'limits/blame',
     'limits/endpoint_rates',
     'limits/group_memory',
     'limits/named_limits',
     'limits/quarantine',
+    'limits/recent_answers',
+    'limits/request_identities',
+    'limits/trial_grants',
+    'limits/trials',
     'membership/fleet',
     'membership/following',
     'membership/hedging',
@@ -76,6 +124,8 @@
     'streams/event_relay',
     'ports/exchange',
     'ports/reservations',
+    'ports/trials',
+    'engines/departures',
     'engines/directory',
     'engines/reliability',
     'engines/usual_times',
@@ -84,6 +134,7 @@
     'configuration/current',
     'configuration/freshness',
     'configuration/mirror',
+    'configuration/priorities',
     'configuration/routes',
 )
 
