--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -54,7 +54,6 @@
       | identical_requests_stay_free | Identical requests while engines crash by themselves |
       | unknown_body_is_tried | A body that no engine has answered before engines crash   |
       | identities_leave_room | Records of many requests beside those of shared parts     |
-<<<<<<< HEAD
       | unframed_ends        | Closed responses without framing, by what is known of the run |
       | ends_at_one_moment   | Responses that an endpoint which leaves closes together    |
       | runs_by_list         | An endpoint without a report that is listed anew           |
@@ -85,8 +84,6 @@
       | hedge_error_responses | Two attempts that get error responses                     |
       | no_hedge             | Requests that must not be hedged                           |
       | hedge_long_prompts   | Hedges of long prompts                                     |
-=======
->>>>>>> part-c
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
