Split the stand-in engine's records

Change: orders, prompt parts and JSON responses are in the modules of records and raw responses; behaviour is as before.

--- a/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
+++ b/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
@@ -3,6 +3,10 @@
 import enum
 from typing import Final
 
+# Time for which the listener of an engine outlives the connections in
+# `Fault.NO_LENGTH_LATE_CRASH`, in seconds.
+LISTENER_OUTLIVES_S: Final = 0.15
+
 
 class Fault(enum.Enum):
     """Fault that the engine injects into the next request."""
--- a/packages/galenaquay-standins/galenaquay_standins/engine_records.py
+++ b/packages/galenaquay-standins/galenaquay_standins/engine_records.py
@@ -1,7 +1,7 @@
 """What the stand-in of an engine records of its requests."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, MutableMapping
 import dataclasses
 import time
 from typing import Any
@@ -64,3 +64,30 @@
         for reservation_id, reservation in reservations_by_id.items()
         if reservation.expires_at_s > now_s
     ]
+
+
+def apply_order(
+    reservations_by_id: MutableMapping[str, Reservation], order: dict[str, Any]
+) -> int:
+    """Reserves or releases memory; returns the status of the response."""
+    if order['operation'] == 'reserve':
+        reservations_by_id[order['id']] = Reservation(
+            order['tokens'], time.monotonic() + order['holdMs'] / 1000
+        )
+        return 200
+    return 409 if reservations_by_id.pop(order['id'], None) is None else 200
+
+
+def part_ids(request: ReceivedRequest) -> list[str]:
+    """Returns the ids of the parts of a request's prompt, in order."""
+    entries = request.headers.get('x-prompt-prefix', '').split(',')
+    return [entry.partition(':')[0].strip() for entry in entries]
+
+
+async def read_surplus(
+    request: ReceivedRequest, reader: asyncio.StreamReader
+) -> bytes:
+    """Returns the first byte after a request; empty at the end."""
+    if request.late_body is not None:
+        request.body = await request.late_body
+    return await reader.read(1)
--- a/packages/galenaquay-standins/galenaquay_standins/late_reading.py
+++ b/packages/galenaquay-standins/galenaquay_standins/late_reading.py
@@ -79,3 +79,19 @@
     poll.register(sock.fileno(), select.POLLRDHUP)
     while not poll.poll(0):
         await asyncio.sleep(_CHECK_INTERVAL_S)
+
+
+async def fall_silent(
+    writer: asyncio.StreamWriter, dies_after_s: float | None
+) -> None:
+    """Sends nothing until the client ends the connection.
+
+    Args:
+        writer: The connection.
+        dies_after_s: Time after which nothing is acknowledged either, in
+            seconds; None if the engine goes on acknowledging.
+    """
+    if dies_after_s is not None:
+        await asyncio.sleep(dies_after_s)
+        drop_packets(writer)
+    await wait_hang_up(writer)
--- a/packages/galenaquay-standins/galenaquay_standins/raw_responses.py
+++ b/packages/galenaquay-standins/galenaquay_standins/raw_responses.py
@@ -1,6 +1,7 @@
 """Raw bytes that the stand-in of the users' engines writes."""
 
 import asyncio
+from collections.abc import Iterable
 import socket
 import struct
 from typing import Final
@@ -64,6 +65,17 @@
     }[fault]
 
 
+def json_response(status: int, body: bytes, lines: Iterable[str]) -> bytes:
+    """Returns a response with a JSON body and further header lines."""
+    head = [
+        f'HTTP/1.1 {status} OK',
+        'Content-Type: application/json',
+        f'Content-Length: {len(body)}',
+        *lines,
+    ]
+    return '\r\n'.join(head).encode() + HEAD_END + body
+
+
 def chunk(data: bytes) -> bytes:
     """Returns data as one chunk of a chunked body."""
     return b'%x\r\n%s\r\n' % (len(data), data)
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -19,9 +19,6 @@
 from . import raw_responses
 
 _NS_PER_MS: Final = 1_000_000
-# Time for which the listener of an engine outlives the connections in
-# `Fault.NO_LENGTH_LATE_CRASH`, in seconds.
-LISTENER_OUTLIVES_S: Final = 0.15
 
 
 class SealedEngine:
@@ -152,7 +149,7 @@
             self.is_silent = True
         if fault is engine_faults.Fault.NO_LENGTH_LATE_CRASH:
             asyncio.get_running_loop().call_later(
-                LISTENER_OUTLIVES_S, self.end
+                engine_faults.LISTENER_OUTLIVES_S, self.end
             )
 
     def restart(self) -> None:
@@ -233,31 +230,31 @@
         request.says_leaving = self.is_leaving
         request.retry_after = self.retry_after
         self.received.append(request)
+        rejection = None
         if headers.get('x-expect-instance') != self.name:
+            rejection = '421 Misdirected Request'
+        elif self.retry_after is not None:
+            rejection = '503 Busy'
+        if rejection is not None:
             writer.write(
                 raw_responses.rejection(
-                    '421 Misdirected Request',
-                    request.attempt_id,
-                    *self._notice_lines(),
-                )
-            )
-            return True
-        if self.retry_after is not None:
-            writer.write(
-                raw_responses.rejection(
-                    '503 Busy', request.attempt_id, *self._notice_lines()
+                    rejection, request.attempt_id, *self._notice_lines()
                 )
             )
             return True
         if fault in engine_faults.SILENT_FAULTS:
             request.has_run = True
-            if fault is not engine_faults.Fault.UNREAD_SILENCE:
-                await asyncio.sleep(self.late_read_s)
-                late_reading.drop_packets(writer)
-            await late_reading.wait_hang_up(writer)
+            await late_reading.fall_silent(
+                writer,
+                None
+                if fault is engine_faults.Fault.UNREAD_SILENCE
+                else self.late_read_s,
+            )
             request.hung_up_at_s = time.monotonic()
             return False
-        disconnect = asyncio.ensure_future(self._read_surplus(request, reader))
+        disconnect = asyncio.ensure_future(
+            engine_records.read_surplus(request, reader)
+        )
         try:
             is_kept = await self._respond(request, fault, writer, disconnect)
             if request.late_body is not None:
@@ -271,19 +268,8 @@
             disconnect.cancel()
             await asyncio.wait([disconnect])
 
-    async def _read_surplus(
-        self,
-        request: engine_records.ReceivedRequest,
-        reader: asyncio.StreamReader,
-    ) -> bytes:
-        """Returns the first byte after a request; empty at the end."""
-        if request.late_body is not None:
-            request.body = await request.late_body
-        return await reader.read(1)
-
     def _is_deadly(self, request: engine_records.ReceivedRequest) -> bool:
-        entries = request.headers.get('x-prompt-prefix', '').split(',')
-        *shared, last = [entry.partition(':')[0].strip() for entry in entries]
+        *shared, last = engine_records.part_ids(request)
         return (
             self.deadly_part in shared
             or ('' != last == self.deadly_last_part)
@@ -297,27 +283,14 @@
     ) -> bool:
         order = orjson.loads(request.body)
         self.orders.append(order)
-        now_s = time.monotonic()
-        status = 200
-        if order['operation'] == 'reserve':
-            self.reservations_by_id[order['id']] = engine_records.Reservation(
-                order['tokens'], now_s + order['holdMs'] / 1000
-            )
-        elif self.reservations_by_id.pop(order['id'], None) is None:
-            status = 409
+        status = engine_records.apply_order(self.reservations_by_id, order)
         if self.drops_order_responses:
             return False
         writer.write(self._format_json(status, b'{"free":1}'))
         return True
 
     def _format_json(self, status: int, body: bytes) -> bytes:
-        lines = [
-            f'HTTP/1.1 {status} OK',
-            'Content-Type: application/json',
-            f'Content-Length: {len(body)}',
-            *self._notice_lines(),
-        ]
-        return '\r\n'.join(lines).encode() + raw_responses.HEAD_END + body
+        return raw_responses.json_response(status, body, self._notice_lines())
 
     def _notice_lines(self) -> list[str]:
         """Returns the headers in which the engine speaks of itself."""
