Run the platform's scenarios beside the others

Change: without arguments, run_tests.py starts two runs of behave that select each scenario once by its tag and use other ports.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -4,18 +4,27 @@
 printed but not counted as failed. If such a scenario passes, the run fails, so
 that the list is kept up to date. Scenarios that the list names as flaky may
 pass or fail.
+
+Without arguments, the scenarios that start processes of the platform's entry
+run beside all others, which use other ports. Arguments are passed to behave,
+which then runs alone.
 """
 
 import dataclasses
 import json
 import pathlib
+import subprocess
 import sys
 from typing import Any, Final
 
-from behave import __main__ as behave_main
-
 ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
-RESULTS_PATH: Final = ROOT / '.run' / 'behave.json'
+RESULTS_FOLDER: Final = ROOT / '.run'
+# Tag expressions of the scenarios that run beside each other, by the name of
+# their results. Together they select each scenario once.
+PARTS: Final = {
+    'platform': '@platform',
+    'others': 'not @platform',
+}
 KNOWN_RED_PATH: Final = ROOT / 'KNOWN-RED.txt'
 # Prefix of the lines of KNOWN-RED.txt that name a failing scenario.
 FAILING_PREFIX: Final = 'test: '
@@ -54,29 +63,71 @@
     ]
 
 
-def main() -> int:
-    """Runs the tests; returns the exit status."""
-    RESULTS_PATH.parent.mkdir(exist_ok=True)
-    RESULTS_PATH.unlink(missing_ok=True)
-    status = behave_main.main(
+def start_behave(name: str, arguments: list[str]) -> subprocess.Popen[bytes]:
+    """Starts behave, which writes its results to a file.
+
+    Args:
+        name: The name of the results.
+        arguments: Further arguments of behave.
+    """
+    results_path(name).unlink(missing_ok=True)
+    return subprocess.Popen(
         [
+            sys.executable,
+            '-m',
+            'behave',
             '--no-color',
             '--format=json',
-            f'--outfile={RESULTS_PATH}',
-            *sys.argv[1:],
+            f'--outfile={results_path(name)}',
+            *arguments,
             str(ROOT / 'tests' / 'features'),
-        ]
+        ],
+        cwd=ROOT,
     )
-    if not RESULTS_PATH.exists():
-        return status or 1
-    scenarios = read_scenarios(json.loads(RESULTS_PATH.read_text()))
+
+
+def results_path(name: str) -> pathlib.Path:
+    """Returns the file with the results of one run of behave."""
+    return RESULTS_FOLDER / f'behave-{name}.json'
+
+
+def main() -> int:
+    """Runs the tests; returns the exit status."""
+    RESULTS_FOLDER.mkdir(exist_ok=True)
+    arguments = sys.argv[1:]
+    runs_by_name = (
+        {'selected': start_behave('selected', arguments)}
+        if arguments
+        else {
+            name: start_behave(name, [f'--tags={tags}'])
+            for name, tags in PARTS.items()
+        }
+    )
+    statuses = [run.wait() for run in runs_by_name.values()]
+    scenarios = []
+    for name in runs_by_name:
+        if not results_path(name).exists():
+            return max(statuses) or 1
+        features = json.loads(results_path(name).read_text())
+        scenarios += read_scenarios(features)
     return report(
-        scenarios,
+        scenarios if arguments else merge_parts(scenarios),
         read_listed_scenarios(FAILING_PREFIX),
         read_listed_scenarios(FLAKY_PREFIX),
     )
 
 
+def merge_parts(scenarios: list[ScenarioResult]) -> list[ScenarioResult]:
+    """Merges the results of runs that list each other's scenarios as skipped.
+
+    A scenario that no run has played stays in the result as skipped.
+    """
+    played = [s for s in scenarios if s.status != 'skipped']
+    names = {s.name for s in played}
+    unplayed = {s for s in scenarios if s.name not in names}
+    return [*played, *sorted(unplayed, key=lambda s: s.name)]
+
+
 def report(
     scenarios: list[ScenarioResult],
     known_failing: set[str],
