Keep pools without ranked routes as before

Cause: accounts with different priorities switched classes and waiting on for deployments whose routes to a pool all have one priority. Change: a pool has classes only if its routes have more than one priority.

--- a/packages/galenaquay/galenaquay/configuration/priorities.py
+++ b/packages/galenaquay/galenaquay/configuration/priorities.py
@@ -1,9 +1,9 @@
 """Ranks the requests of each pool by the priorities of accounts and routes.
 
 The priority of the client account comes first, and the priority of the route
-decides between accounts of the same priority. A pool whose requests all have
-the same priorities has no classes, and its requests are served in the order of
-their arrival.
+decides between accounts of the same priority. A pool whose routes all have the
+same priority has no classes, and its requests are served in the order of their
+arrival: accounts alone do not say which kinds of requests may wait.
 """
 
 from collections.abc import Iterable, Mapping
@@ -101,7 +101,7 @@
     classes_by_service = {
         service: _rank(by_priorities)
         for service, by_priorities in allowed.items()
-        if len(by_priorities) > 1
+        if len({priority for _, priority in by_priorities}) > 1
     }
     return PriorityClasses(
         classes_by_service,
--- a/tests/properties/simulated_attempts.py
+++ b/tests/properties/simulated_attempts.py
@@ -87,6 +87,9 @@
             else:
                 yield b'%d,' % self.number
 
+    def finish(self):
+        pass
+
     def close(self):
         if self.ended_s is None:
             self.ended_s = self.loop.time()
--- a/tests/properties/simulated_pool.py
+++ b/tests/properties/simulated_pool.py
@@ -232,6 +232,9 @@
             await self._answer.get()
             yield EVENT % number
 
+    def finish(self):
+        pass
+
     def close(self):
         engine = self._pool.engines_by_id[self._params.endpoint.id]
         for part in self._parts:
