--- a/review/engine2.py
+++ b/review/engine2.py
@@ -97,8 +97,14 @@
 
     async def run(self, writer, method, target, headers, body):
         request_id = headers.get('x-attempt-id', '')
-        say(event='runs', id=request_id, method=method, target=target,
-            resumes=headers.get('last-event-id'), body=len(body))
+        say(
+            event='runs',
+            id=request_id,
+            method=method,
+            target=target,
+            resumes=headers.get('last-event-id'),
+            body=len(body),
+        )
         self.running += 1
         try:
             await self.write(writer, target, headers, request_id)
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -20,8 +20,8 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-# The deploy file fixes the port of an entry's metrics, so that scripts that run
-# at the same time need addresses of their own.
+# The deploy file fixes the port of an entry's metrics, so that scripts that
+# run at the same time need addresses of their own.
 NET = f'127.{20 + os.getpid() % 200}'
 STORE_IP = f'{NET}.40.1'
 ENGINE_IP = f'{NET}.41.'
@@ -129,7 +129,8 @@
                 data = json.dumps(body).encode()
                 writer.write(
                     f'HTTP/1.1 {status} X\r\nContent-Type: application/json'
-                    f'\r\nContent-Length: {len(data)}\r\n\r\n'.encode() + data
+                    f'\r\nContent-Length: {len(data)}\r\n\r\n'.encode()
+                    + data
                 )
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -447,8 +448,16 @@
     return answer
 
 
-async def ask(lab, entry, request_id, method, path, deadline_ms=10000,
-              headers=(), body=b''):
+async def ask(
+    lab,
+    entry,
+    request_id,
+    method,
+    path,
+    deadline_ms=10000,
+    headers=(),
+    body=b'',
+):
     """Sends one request on a channel of its own; returns the answer."""
     lab.record(f'client: {request_id} {method} {path} to {entry.name}')
     answer = Answer()
