--- a/review/engine2.py
+++ b/review/engine2.py
@@ -8,10 +8,15 @@
   unframed=1    answers have neither a length nor chunks and end with their
                 channel
   read_bps=N    reads bodies at N bytes a second; 0 reads them at once
+  first_ms=N    time from the head of an answer to its first event
+  deadly=ID     the engine crashes when it begins to write on a prompt that has
+                this part
 """
 
 import asyncio
 import json
+import os
+import signal
 import sys
 
 PART_BYTES = 64
@@ -134,6 +139,14 @@
         elif not is_unframed:
             lines.append(f'Content-Length: {events * PART_BYTES}')
         writer.write('\r\n'.join([*lines, '', '']).encode())
+        await writer.drain()
+        await asyncio.sleep(int(self.options.get('first_ms', 0)) / 1000)
+        parts = headers.get('x-prompt-prefix', '').split(',')
+        ids = [part.partition(':')[0] for part in parts]
+        if self.options.get('deadly') in ids[:-1]:
+            say(event='crashes', id=request_id)
+            os.kill(os.getpid(), signal.SIGKILL)
+        say(event='begins', id=request_id)
         first = int(headers.get('last-event-id') or 0) + 1
         for number in range(first if is_stream else 1, events + 1):
             if is_stream:
