--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Engines read long bodies slowly, and an entry holds all of them."""
+"""A first part that no engine has answered yet is blamed for crashes."""
 
 import asyncio
 import pathlib
@@ -9,100 +9,142 @@
 
 import lab2  # noqa: E402
 
-# Clients of the sheet: 30 + 33 + 34.
-CLIENTS = 97
-# `maxBodyBytes` of the configuration.
-BODY_BYTES = 4194304
-# Time over which the clients send, in seconds.
-SPREAD_S = 3.0
-# Speed at which an engine reads one body, in bytes per second.
-SLOW_BPS = 1_000_000
-MEMORY_MB = 300
-# Largest number of channels that the rule allows to be closed.
-MOST_CLOSED = 3
-
-
-async def client(lab, entry, number, body):
-    """Sends a short request and then a long one on the same channel."""
-    await asyncio.sleep(SPREAD_S * number / CLIENTS)
-    answer = lab2.Answer()
-    writer = None
-    try:
-        reader, writer = await asyncio.open_connection(entry.ip, entry.front)
-        for request_id, data in (
-            (f'short-{number}', b'x'),
-            (f'long-{number}', body),
-        ):
-            writer.write(
-                lab2.request_bytes(
-                    request_id, 'POST', '/send/x', 10000, (), data
+# First parts of the prompts before and after the callers' change, and the part
+# that crashes engines.
+OLD, NEW, DEADLY = 'a0a0', 'b0b0', 'dead'
+# Numbers of sound prompts before and after the crashes. With three deadly
+# prompts, a share of 0.03 has the deadly part.
+BEFORE, AFTER = 75, 26
+# Smallest number of prompts of each kind that the rule judges.
+LEAST = 20
+# Time between two prompts before and after the crashes, in seconds.
+BEFORE_GAP_S, GAP_S = 0.27, 0.8
+# Time from the head of an answer to its first event, in ms.
+FIRST_MS = 400
+# Time for which a crashed engine is away, in seconds.
+AWAY_S = 3.0
+# `2 x stableWindowMs`.
+AFTER_CRASH_S = 6.0
+KEY = 'n2ctnfzs989anu6wsjnb'
+
+
+class Callers:
+    """Sends prompts of one client account, to both machines in turn."""
+
+    def __init__(self, lab):
+        self.lab = lab
+        self.count = 0
+        self.tasks = []
+
+    def send(self, name, parts):
+        self.count += 1
+        entry = self.lab.entries[self.count % len(self.lab.entries)]
+        request_id = f'{name}-{self.count}'
+        chain = ','.join(f'{part}:40' for part in parts)
+        headers = [
+            ('Authorization', f'Bearer {KEY}'),
+            ('X-Model', 'm'),
+            ('X-Token-Counts', '1460,80'),
+            ('X-Prompt-Prefix', f'{chain},{self.count + 4096:x}:1380'),
+        ]
+        body = f'prompt {self.count}'.encode()
+        self.tasks.append(
+            asyncio.create_task(
+                lab2.ask(
+                    self.lab,
+                    entry,
+                    request_id,
+                    'POST',
+                    '/stream/x',
+                    10000,
+                    headers,
+                    body,
                 )
             )
-            await writer.drain()
-            answer = await asyncio.wait_for(lab2.read_answer(reader), 12)
-            lab.record(f'client: {request_id} gets {answer}')
-    except OSError as exc:
-        answer = lab2.Answer()
-        answer.end = f'channel failed: {exc}'
-        lab.record(f'client: long-{number} gets {answer}')
-    finally:
-        if writer is not None:
-            writer.close()
-    return answer
-
-
-async def watch_memory(lab, entry):
-    """Kills the process beyond its memory, as the platform does."""
-    most_mb = 0.0
-    try:
-        while entry.is_running():
-            used_mb = entry.rss_mb()
-            most_mb = max(most_mb, used_mb)
-            if used_mb > MEMORY_MB:
-                lab.record(
-                    f'platform: {entry.name} has {used_mb:.0f} MB; killed'
-                )
-                entry.process.kill()
-                return
-            await asyncio.sleep(0.02)
-    except OSError:
-        pass
-    finally:
-        lab.record(f'platform: {entry.name} had at most {most_mb:.0f} MB')
+        )
+        return request_id
+
+
+async def keep(lab, engine):
+    """Starts an engine again, under its id, whenever it has crashed."""
+    while True:
+        await engine.process.wait()
+        lab.record(f'engine {engine.id}: ended')
+        await asyncio.sleep(AWAY_S)
+        await engine.start()
+
+
+def begun(lab, request_ids):
+    begins = {e['id'] for e in lab.events if e['event'] == 'begins'}
+    return len(begins.intersection(request_ids))
 
 
 async def case(lab, has_trouble):
-    speed = SLOW_BPS if has_trouble else 0
-    options = ['events=2', 'gap_ms=5', f'read_bps={speed}']
+    options = ['events=5', 'gap_ms=50', f'first_ms={FIRST_MS}']
+    options += [f'deadly={DEADLY}']
     await lab.start(
-        1,
-        [(f'i-app{n}', 'app', options) for n in range(1, 4)],
+        2,
+        [(f'i-llm{n}', 'llm', options) for n in range(1, 9)],
         lab2.configuration(
             routes=[
                 lab2.route(
-                    'r-send', '/send/', 'non_idempotent', 'app', attempts=1
+                    'r-stream',
+                    '/stream/',
+                    'streaming',
+                    'llm',
+                    attempts=1,
+                    sticky=True,
+                    resumable=False,
+                    gapAimMs=500,
                 )
             ],
-            services=[lab2.plain_service('app')],
+            services=[lab2.model_service('llm')],
+            tenants=[{'name': 'hule930', 'apiKeys': [KEY], 'priority': 1}],
         ),
     )
-    entry = lab.entries[0]
+    keepers = [
+        asyncio.create_task(keep(lab, engine)) for engine in lab.engines
+    ]
     await asyncio.sleep(3.5)
-    watch = asyncio.create_task(watch_memory(lab, entry))
-    body = b'x' * BODY_BYTES
-    answers = await asyncio.gather(
-        *(client(lab, entry, number, body) for number in range(CLIENTS))
+    callers = Callers(lab)
+    before = []
+    for _ in range(BEFORE):
+        before.append(callers.send('old', [OLD]))
+        await asyncio.sleep(BEFORE_GAP_S)
+    # The callers change the first part of their prompts. The engine of the
+    # first such prompt crashes by itself.
+    first = callers.send('first', [NEW])
+    await asyncio.sleep(FIRST_MS / 2000)
+    if has_trouble:
+        run = next(
+            e for e in lab.events if e['event'] == 'runs' and e['id'] == first
+        )
+        engine = next(e for e in lab.engines if e.id == run['engine'])
+        await engine.kill()
+        for _ in range(2):
+            await asyncio.sleep(GAP_S)
+            callers.send('deadly', [NEW, DEADLY])
+    await asyncio.sleep(FIRST_MS / 1000 + AFTER_CRASH_S + 0.2)
+    after = []
+    for _ in range(AFTER):
+        after.append(callers.send('new', [NEW]))
+        await asyncio.sleep(GAP_S)
+    # The rule holds while prompts with the deadly part still come.
+    if has_trouble:
+        callers.send('deadly', [NEW, DEADLY])
+    await asyncio.wait(callers.tasks)
+    for keeper in keepers:
+        keeper.cancel()
+    crashes = sum(e['event'] == 'crashes' for e in lab.events)
+    lab.record(f'judge: {crashes} crashes by the deadly part')
+    had, has = begun(lab, before), begun(lab, after)
+    lab.record(
+        f'judge: {had} of {BEFORE} begin before, {has} of {AFTER} after'
     )
-    watch.cancel()
-    await asyncio.wait([watch])
-    arrived = {e['id'] for e in lab.events if e['event'] == 'arrives'}
-    closed = [
-        number
-        for number, answer in enumerate(answers)
-        if not answer.is_whole and f'long-{number}' in arrived
-    ]
-    lab.record(f'judge: {len(closed)} channels closed after passing on')
-    return len(closed) > MOST_CLOSED
+    lab.log_lines('blamed', 'trial of')
+    if had < LEAST:
+        raise lab2.CannotRun('too few prompts begin before the crashes')
+    return 2 * has * len(before) < had * len(after)
 
 
 lab2.main(FOLDER, case)
