--- a/packages/galenaquay/galenaquay/adapters/fleet_messages.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_messages.py
@@ -10,7 +10,7 @@
 from ..engines import workload as workload_module
 from ..limits import named_limits
 from ..limits import orphaned_memory
-from ..limits import quarantine
+from ..limits import reported_parts
 from ..membership import fleet as fleet_module
 from ..ports import reservations
 from ..waiting import sums as sums_module
@@ -122,7 +122,7 @@
     return max(0, math.floor(age_s * _MS_PER_S))
 
 
-def part_message(part: quarantine.ReportedPart) -> fleet_pb2.PromptPart:
+def part_message(part: reported_parts.ReportedPart) -> fleet_pb2.PromptPart:
     """Encodes what is known of a part of prompts."""
     return fleet_pb2.PromptPart(
         part_id=part.part_id,
@@ -146,15 +146,15 @@
 
 def part_from_message(
     message: fleet_pb2.PromptPart,
-) -> quarantine.ReportedPart:
+) -> reported_parts.ReportedPart:
     """Decodes what another VM knows of a part of prompts."""
     cleared_age_s = None
     if message.cleared_age_ms_plus_one:
         cleared_age_s = (message.cleared_age_ms_plus_one - 1) / _MS_PER_S
-    return quarantine.ReportedPart(
+    return reported_parts.ReportedPart(
         ids.PromptPartId(message.part_id),
         tuple(
-            quarantine.ReportedEnd(
+            reported_parts.ReportedEnd(
                 ids.EndpointRun(end.engine_run),
                 end.sent_age_ms / _MS_PER_S,
                 end.ended_age_ms / _MS_PER_S,
--- a/packages/galenaquay/galenaquay/limits/quarantine.py
+++ b/packages/galenaquay/galenaquay/limits/quarantine.py
@@ -34,6 +34,7 @@
 from ..engines import directory
 from ..membership import revisions as revisions_module
 from . import recent_answers
+from . import reported_parts
 from . import request_identities
 from . import trials
 
@@ -60,31 +61,6 @@
 EXPIRY_INTERVAL_S: Final = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class ReportedEnd:
-    """The end of an engine that had a request with a part."""
-
-    engine_run: ids.EndpointRun
-    # Time since the request was sent and since the engine ended, in seconds.
-    sent_age_s: float
-    ended_age_s: float
-    # Whether the head of the response had not come when the engine ended.
-    is_before_head: bool = False
-    # Whether the request was sent as a trial of blamed parts.
-    is_trial: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class ReportedPart:
-    """What one VM tells others about a part of prompts."""
-
-    part_id: ids.PromptPartId
-    ends: tuple[ReportedEnd, ...] = ()
-    # Time since the part was cleared of earlier ends, in seconds; None if it
-    # was not.
-    cleared_age_s: float | None = None
-
-
 @dataclasses.dataclass
 class _Part:
     ends_by_run: dict[ids.EndpointRun, blame.End] = dataclasses.field(
@@ -296,14 +272,16 @@
         self._clear(part_id, part, now_s)
         return True
 
-    def reports_after(self, revision: int) -> list[ReportedPart]:
+    def reports_after(
+        self, revision: int
+    ) -> list[reported_parts.ReportedPart]:
         """Returns what has changed after a revision, for another VM."""
         now_s = self._clock()
         return [
-            ReportedPart(
+            reported_parts.ReportedPart(
                 part_id,
                 tuple(
-                    ReportedEnd(
+                    reported_parts.ReportedEnd(
                         run,
                         now_s - end.sent_at_s,
                         now_s - end.ended_at_s,
@@ -320,7 +298,7 @@
             if self._revisions.is_newer(_fact(part_id), revision)
         ]
 
-    def merge(self, reports: Iterable[ReportedPart]) -> None:
+    def merge(self, reports: Iterable[reported_parts.ReportedPart]) -> None:
         """Adds what another VM has reported."""
         now_s = self._clock()
         is_changed = False
@@ -329,7 +307,9 @@
         if is_changed:
             self._derive_blamed()
 
-    def _merge_part(self, report: ReportedPart, now_s: float) -> bool:
+    def _merge_part(
+        self, report: reported_parts.ReportedPart, now_s: float
+    ) -> bool:
         is_changed = False
         part = self._parts_by_id.get(report.part_id)
         if report.cleared_age_s is not None:
