Try a part that no engine has answered in time

Cause: the engine of the first such prompt ended by itself, and two engines ended under a part that crashes engines. All three had the new part, which no engine had answered yet, so it alone was blamed, and its first trial came only 30 s after the last end (UNANSWERED_WAIT_S). Users allow 6 s. The log of the case shows it: "prompt parts blamed" names the first part alone, and no line "trial of blamed parts requested" follows. With three ends that have only the first part in common no record tells a new part from a deadly one; only a trial does.

Change: the first trial of such a part comes 3 s after the last end, the second one 4.5 s after a failed one. Prompts whose other parts have ends still wait up to four times as long, so a sound prompt is tried before a deadly one. The bound on engines is the number of failed trials, two, as before, not their time: BUDGET does not change.

--- a/packages/galenaquay/galenaquay/limits/trials.py
+++ b/packages/galenaquay/galenaquay/limits/trials.py
@@ -10,8 +10,9 @@
 accept three requests with a crashing part after its fifth crash, and one of
 them is left for VMs that do not know of the crashes yet. Users also require
 that prompts with a part that does not crash engines are sent again 6 s after
-the last crash, which bounds the waits for parts that engines have answered
-before.
+the last crash. This bounds the wait for the first trial of any part: a part
+may be new and blamed for the crashes of another one, or of engines that ended
+by themselves, before any engine could answer it.
 """
 
 from collections.abc import Callable
@@ -28,8 +29,8 @@
 # last end usually clear a part that does not crash engines earlier.
 ANSWERED_WAIT_S: Final = 1.0
 # The same for a part that no engine has answered, in seconds: it is likely to
-# be what crashes engines, and no prompt that engines answered contained it.
-UNANSWERED_WAIT_S: Final = 30.0
+# be what crashes engines. The rest of the 6 s is for the answer of the trial.
+UNANSWERED_WAIT_S: Final = 3.0
 # The same for identities of requests, in seconds: if another identity shows
 # that the request is a new one, and if it is likely to have ended engines.
 OTHER_REQUEST_WAIT_S: Final = 2.0
@@ -38,8 +39,10 @@
 # factor for each end, up to a largest factor.
 SUSPICION_FACTOR: Final = 2.0
 MAX_SUSPICION_FACTOR: Final = 4.0
-# After each failed trial the next one waits longer by this factor.
+# After a failed trial the next one waits longer by this factor; the second one
+# for parts that no engine has answered, whose waits are long already.
 FAILED_FACTOR: Final = 4.0
+FAILED_UNANSWERED_FACTOR: Final = 1.5
 # Number of trials that may fail while a part or an identity stays blamed.
 MAX_FAILED: Final = 2
 MAX_FAILED_OF_IDENTITY: Final = 1
@@ -89,22 +92,27 @@
         is_same_request: Whether the request is likely to have ended
             engines before.
     """
-    most = MAX_FAILED_OF_IDENTITY if evidence.is_own else MAX_FAILED
-    if evidence.failed_trials >= most:
+    if evidence.failed_trials >= _max_failed(evidence):
         return math.inf
     if evidence.is_own:
         wait_s = (
             SAME_REQUEST_WAIT_S if is_same_request else OTHER_REQUEST_WAIT_S
         )
+        failed_factor = FAILED_FACTOR
     else:
-        wait_s = (
-            ANSWERED_WAIT_S if evidence.was_answered else UNANSWERED_WAIT_S
-        )
+        if evidence.was_answered:
+            wait_s, failed_factor = ANSWERED_WAIT_S, FAILED_FACTOR
+        else:
+            wait_s, failed_factor = UNANSWERED_WAIT_S, FAILED_UNANSWERED_FACTOR
         wait_s *= min(SUSPICION_FACTOR**suspicion, MAX_SUSPICION_FACTOR)
-    wait_s *= FAILED_FACTOR**evidence.failed_trials
+    wait_s *= failed_factor**evidence.failed_trials
     return max(0.0, wait_s - evidence.last_end_age_s)
 
 
+def _max_failed(evidence: Evidence) -> int:
+    return MAX_FAILED_OF_IDENTITY if evidence.is_own else MAX_FAILED
+
+
 @dataclasses.dataclass(frozen=True)
 class _Lease:
     parts: frozenset[ids.PromptPartId]
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -10,6 +10,7 @@
 from galenaquay_platform import orders
 from galenaquay_platform import serve
 from tests.properties import availability_properties
+from tests.properties import blame_recovery_properties
 from tests.properties import config_properties
 from tests.properties import document_properties
 from tests.properties import ends_properties
@@ -27,6 +28,7 @@
 
 PROPERTY_MODULES = (
     availability_properties,
+    blame_recovery_properties,
     config_properties,
     document_properties,
     ends_properties,
--- a/tests/features/steps/platform_quarantine_steps.py
+++ b/tests/features/steps/platform_quarantine_steps.py
@@ -12,6 +12,7 @@
 
 DEADLY = 'dead01'
 FIRST = 'aa01'
+NEW_FIRST = 'bb01'
 CRASHES = 5
 DEADLY_LAST = 'dead02'
 DEADLY_BODY = b'{"prompt":"deadly"}'
@@ -64,6 +65,7 @@
 def step_engines_come_back(context, count, seconds):
     fixture = platform_asking.fixture(context)
     context.prompt_numbers = itertools.count()
+    context.first_part = FIRST
 
     async def run_step():
         for i in range(count):
@@ -89,8 +91,8 @@
         for number in range(count):
             if crashes(context) >= CRASHES:
                 return
-            await send_prompt(context, number % 3, FIRST, DEADLY)
-            await send_prompt(context, (number + 1) % 3, FIRST)
+            await send_prompt(context, number % 3, context.first_part, DEADLY)
+            await send_prompt(context, (number + 1) % 3, context.first_part)
 
     platform_asking.run(context, run_step())
 
@@ -113,7 +115,9 @@
 
     async def run_step():
         return [
-            await send_prompt(context, vms[number % len(vms)], FIRST, DEADLY)
+            await send_prompt(
+                context, vms[number % len(vms)], context.first_part, DEADLY
+            )
             for number in range(count)
         ]
 
@@ -131,7 +135,7 @@
 
 @then('prompts that share the key and the first part are answered')
 def step_sound_answered(context):
-    check_answered(context, FIRST)
+    check_answered(context, context.first_part)
 
 
 def check_answered(context, *parts):
@@ -150,7 +154,7 @@
         for engine in engines_of(context):
             engine.event_delay_s = 1.0
         sent = [
-            asyncio.ensure_future(send_prompt(context, 0, FIRST))
+            asyncio.ensure_future(send_prompt(context, 0, context.first_part))
             for _ in range(4)
         ]
         await asyncio.sleep(0.2)
@@ -172,19 +176,24 @@
 
 @then('prompts with the part are answered')
 def step_part_answered(context):
-    check_answered(context, FIRST)
+    check_answered(context, context.first_part)
 
 
 @when('prompts that share the first part have been answered')
 def step_answered_before(context):
-    check_answered(context, FIRST)
+    check_answered(context, context.first_part)
     for vm in range(3):
         response = platform_asking.run(
-            context, send_prompt(context, vm, FIRST, target=ONCE)
+            context, send_prompt(context, vm, context.first_part, target=ONCE)
         )
         assert response.status == 200, response
 
 
+@when('the callers change the first part of their prompts')
+def step_change_first_part(context):
+    context.first_part = NEW_FIRST
+
+
 @when(
     'an engine crashes by itself under a prompt with the first part, and two '
     'under prompts with the part'
@@ -194,7 +203,9 @@
         for engine in engines_of(context):
             engine.event_delay_s = 1.0
         sent = asyncio.ensure_future(
-            send_prompt(context, 0, FIRST, target=ONCE, last_part='e999')
+            send_prompt(
+                context, 0, context.first_part, target=ONCE, last_part='e999'
+            )
         )
         await asyncio.sleep(0.3)
         for engine in engines_of(context):
@@ -215,7 +226,9 @@
         for vm in (1, 0):
             await asyncio.sleep(0.3)
             broken.append(
-                await send_prompt(context, vm, FIRST, DEADLY, target=ONCE)
+                await send_prompt(
+                    context, vm, context.first_part, DEADLY, target=ONCE
+                )
             )
         return broken
 
@@ -237,7 +250,9 @@
         sent = []
         for number in range(count):
             sent.append(
-                asyncio.ensure_future(send_prompt(context, number % 3, FIRST))
+                asyncio.ensure_future(
+                    send_prompt(context, number % 3, context.first_part)
+                )
             )
             await asyncio.sleep(seconds)
         return await asyncio.gather(*sent)
@@ -268,7 +283,9 @@
 
     async def run_step():
         for number in range(count):
-            await send_prompt(context, number % 3, FIRST, **contents[content])
+            await send_prompt(
+                context, number % 3, context.first_part, **contents[content]
+            )
             # The fleet knows of an end within this time.
             await asyncio.sleep(0.2)
 
--- a/tests/properties/trial_properties.py
+++ b/tests/properties/trial_properties.py
@@ -372,7 +372,9 @@
                 if was_answered and not failed:
                     # A trial also needs time for its answer and the reports.
                     assert wait_s <= 2 * WINDOW_S - 1.5
-                if was_answered and failed == 1 and not suspicion:
+                if not was_answered and not failed and not suspicion:
+                    assert wait_s <= 2 * WINDOW_S - 1.5
+                if failed == 1 and not suspicion:
                     assert wait_s <= 2 * WINDOW_S - 1.5
     leases = trials.TrialLeases(lambda: 100.0)
     due = trials.Evidence(1000.0, 0, True, False)
