Leave a trial for prompts without other suspects

What callers saw: with a first part blamed, and while only prompts with the part that crashes engines came, both trials went to such prompts. After that the first part was kept away for 900 s, and all sound prompts got 503.

Cause: a trial of a prompt that holds another suspected part proves nothing about the blamed one, yet it counted like any other.

Change: after a failed trial, a prompt with an unanswered part of that trial, or with two ends under another part, waits 60 s, so that the second trial is left for a prompt that tells the parts apart.

--- a/packages/galenaquay/galenaquay/limits/quarantine.py
+++ b/packages/galenaquay/galenaquay/limits/quarantine.py
@@ -140,7 +140,7 @@
         return trials.BlamedPrompt(
             parts,
             self.evidence(parts) if is_candidate else None,
-            max(map(self._count_ends, others), default=0),
+            max(map(self._suspicion, others), default=0),
             self._is_same_request(identities),
         )
 
@@ -182,6 +182,16 @@
         part = self._parts_by_id.get(part_id)
         return 0 if part is None else len(part.ends_by_run)
 
+    def _suspicion(self, part_id: ids.PromptPartId) -> int:
+        """Returns how far a part that is not blamed is suspected."""
+        part = self._parts_by_id.get(part_id)
+        if part is None or part.was_answered():
+            return 0
+        ends = part.ends_by_run.values()
+        if any(end.is_trial for end in ends):
+            return max(len(ends), trials.MIN_SUSPECT)
+        return len(ends)
+
     def is_suspected(
         self,
         part_ids: Iterable[ids.PromptPartId],
--- a/packages/galenaquay/galenaquay/ports/trials.py
+++ b/packages/galenaquay/galenaquay/ports/trials.py
@@ -15,7 +15,8 @@
 
     id: TrialId
     blamed_parts: frozenset[ids.PromptPartId]
-    # Largest number of ends recorded for any other part of the prompt.
+    # How far other parts of the prompt are suspected: the largest number of
+    # ends of such a part, more if a trial of it has failed.
     suspicion: int
     # Whether the request is likely to have ended engines before.
     is_same_request: bool
