Grant another trial if one takes long

What callers saw: if the VM that had the trial of a blamed part was killed, or its engine stuck, all VMs refused the sound prompts of that part for as long as the lost request could have lasted (up to 60 s).

Cause: one trial runs at a time, and a lease ends only when it is given back, when an engine ends under it, or with the request's time limit.

Change: a trial that was granted 2 s ago no longer keeps another one away, as long as the failed and the running trials together are not more than may fail (two; one for identities). So no more engines can end than before.

--- a/packages/galenaquay/galenaquay/limits/trials.py
+++ b/packages/galenaquay/galenaquay/limits/trials.py
@@ -50,6 +50,9 @@
 # the blamed parts from the other suspected ones.
 MIN_SUSPECT: Final = 2
 SUSPECT_RETRY_S: Final = 60.0
+# Time after which a trial that has not ended no longer keeps other prompts
+# from being tried, in seconds: its VM may have ended, or its engine be stuck.
+SLOW_TRIAL_S: Final = 2.0
 # Longest lease, in seconds, whatever the time limit of the request is.
 MAX_LEASE_S: Final = 60.0
 # Time after which a VM asks again for a trial that was not granted because
@@ -124,7 +127,9 @@
 @dataclasses.dataclass(frozen=True)
 class _Lease:
     parts: frozenset[ids.PromptPartId]
+    # Number of failed trials that were known when the trial was granted.
     failed_trials: int
+    granted_at_s: float
     expires_at_s: float
 
 
@@ -136,10 +141,12 @@
         self._leases_by_id: dict[trials.TrialId, _Lease] = {}
 
     def grant(self, trial: trials.Trial, evidence: Evidence | None) -> float:
-        """Grants a trial if it is due and no other one may be running.
+        """Grants a trial if it is due and no other one has just begun.
 
         A lease ends when the trial is given back, when its request must have
-        ended, or when the end of an engine under a trial becomes known.
+        ended, or when the end of an engine under a trial becomes known. A
+        trial beside one that may still be running is granted only if both
+        may end an engine.
 
         Args:
             trial: The trial that a VM asks for.
@@ -163,19 +170,37 @@
         )
         if wait_s > 0:
             return wait_s
-        if any(
-            lease.parts & trial.blamed_parts
-            and evidence.failed_trials <= lease.failed_trials
-            for lease in self._leases_by_id.values()
-        ):
+        if not self._has_room(trial, evidence, now_s):
             return RETRY_S
         self._leases_by_id[trial.id] = _Lease(
             trial.blamed_parts,
             evidence.failed_trials,
+            now_s,
             now_s + min(trial.duration_s, MAX_LEASE_S),
         )
         return 0.0
 
+    def _has_room(
+        self, trial: trials.Trial, evidence: Evidence, now_s: float
+    ) -> bool:
+        """Returns whether a trial may run beside those that may be running."""
+        leases = [
+            lease
+            for lease in self._leases_by_id.values()
+            if lease.parts & trial.blamed_parts
+        ]
+        if not leases:
+            return True
+        failed_before = min(lease.failed_trials for lease in leases)
+        running = len(leases) - (evidence.failed_trials - failed_before)
+        if running <= 0:
+            return True
+        last_at_s = max(lease.granted_at_s for lease in leases)
+        return (
+            now_s - last_at_s >= SLOW_TRIAL_S
+            and evidence.failed_trials + running < _max_failed(evidence)
+        )
+
     def release(self, trial_id: trials.TrialId) -> None:
         """Ends the lease of a trial whose request has ended."""
         self._leases_by_id.pop(trial_id, None)
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -50,6 +50,7 @@
       | blame_ends_by_trial  | A common part blamed for the crashes of another part       |
       | sound_prompts_return | A new first part that is blamed for the crashes of another |
       | deadly_first_part    | A first part that crashes engines, beside other parts      |
+      | lost_trial           | A VM that ends during its trial                            |
       | trials_spare_engines | Trials of a part that crashes engines                      |
       | trial_times          | Times and leases of trials                                 |
       | trial_calls          | Trials that VMs request over gRPC                          |
--- a/tests/properties/blame_recovery_properties.py
+++ b/tests/properties/blame_recovery_properties.py
@@ -3,6 +3,7 @@
 import random
 
 from galenaquay import ids
+from galenaquay.limits import trials
 
 from tests.properties import trial_properties
 
@@ -125,3 +126,29 @@
             seed,
             world.deadly_sent_at_s,
         )
+
+
+def check_lost_trial():
+    """A VM that ends during a trial keeps no other VM from a trial.
+
+    Guards against a lease that lasts as long as the request would have:
+    half of the first sound prompts that the users' rule judges are sent.
+    """
+    for seed in range(12):
+        world = trial_properties.World(seed, vms=3)
+        callers = Callers(world)
+        callers.crash_in_turn('sdd')
+        callers.run_for(trials.ANSWERED_WAIT_S, 0, 0)
+        while not callers.send_sound():
+            world.run_for(0.1)
+        (trial,) = world.running
+        world.end_vm(trial.vm)
+        callers.run_for(20.0, 8.0, 0)
+        due_at_s = world.ends_at_s[-1] + 2 * WINDOW_S
+        judged = [
+            is_accepted
+            for sent_at_s, is_accepted in callers.sound
+            if sent_at_s > due_at_s
+        ][:MIN_JUDGED]
+        assert len(judged) == MIN_JUDGED, seed
+        assert 2 * sum(judged) >= len(judged), (seed, judged)
