Notice a reset that the sending of a body got

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being sent.

Cause: the kernel reports the error of a reset once, to the first call on the socket. While the upload is sent, that is often the sending; the reading then sees an orderly end, and the failure of the sending, noted one turn of the event loop later, came after that end. The endpoint lives on, so its report confirmed the "end".

Change: at the end of the data, poll tells a connection that is closed in both directions (reset) from one whose peer ended its direction; it does not matter who got the error. One place serves all answers of endpoints.

--- a/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
+++ b/packages/galenaquay-standins/galenaquay_standins/engine_faults.py
@@ -68,6 +68,9 @@
     # connection, or resets it.
     UNREAD_CLOSE = 'unread close'
     UNREAD_RESET = 'unread reset'
+    # Executes the request, sends a part of a body without a length, and resets
+    # the connection without reading the request's body.
+    UNREAD_HALF_RESET = 'unread half reset'
     # Executes the request, reads no more than its head, and does not respond.
     UNREAD_SILENCE = 'unread silence'
     # Like `UNREAD_SILENCE`; after a pause, acknowledges nothing any more.
@@ -111,6 +114,7 @@
     Fault.NO_LENGTH,
     Fault.NO_LENGTH_RESET,
     Fault.NO_LENGTH_PARTIAL_EVENT,
+    Fault.UNREAD_HALF_RESET,
 }
 # Faults that break a stream off.
 BREAKING_FAULTS: Final = CRASH_FAULTS | {
@@ -126,10 +130,13 @@
         Fault.LATE_BODY,
         Fault.UNREAD_CLOSE,
         Fault.UNREAD_RESET,
+        Fault.UNREAD_HALF_RESET,
         Fault.UNREAD_SILENCE,
         Fault.UNREAD_DEATH,
     )
 )
+# Faults that reset the connection after the response.
+RESET_FAULTS: Final = frozenset((Fault.UNREAD_RESET, Fault.UNREAD_HALF_RESET))
 # Faults after which the engine only waits for the end of the connection.
 SILENT_FAULTS: Final = frozenset(
     (Fault.UNREAD_SILENCE, Fault.UNREAD_DEATH, Fault.READ_DEATH)
--- a/packages/galenaquay-standins/galenaquay_standins/raw_responses.py
+++ b/packages/galenaquay-standins/galenaquay_standins/raw_responses.py
@@ -11,6 +11,8 @@
 HEAD_END: Final = b'\r\n\r\n'
 # Pause between two bytes of `Fault.SLOW_ENDLESS_EVENT`, in seconds.
 SLOW_BYTE_INTERVAL_S: Final = 0.1
+# Pause of `send_unread`, in seconds.
+UNREAD_PAUSE_S: Final = 0.02
 
 
 def rejection(status: str, attempt_id: str, *extra: str) -> bytes:
@@ -81,6 +83,20 @@
     return b'%x\r\n%s\r\n' % (len(data), data)
 
 
+async def send_unread(writer: asyncio.StreamWriter, data: bytes) -> bool:
+    """Sends data, then reads nothing until the peer's buffers are full.
+
+    Returns:
+        False, as the connection is not kept.
+    """
+    transport = writer.transport
+    assert isinstance(transport, asyncio.Transport)
+    transport.pause_reading()
+    writer.write(data)
+    await asyncio.sleep(UNREAD_PAUSE_S)
+    return False
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Closes a connection with a TCP reset.
 
--- a/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
+++ b/packages/galenaquay-standins/galenaquay_standins/sealed_engine.py
@@ -261,7 +261,7 @@
                 # Reads what follows the body, until the connection ends.
                 request.surplus = await disconnect
                 return False
-            if fault is engine_faults.Fault.UNREAD_RESET:
+            if fault in engine_faults.RESET_FAULTS:
                 raw_responses.reset(writer)
             return is_kept and fault not in engine_faults.UNREAD_FAULTS
         finally:
@@ -432,6 +432,8 @@
             await asyncio.sleep(0.02)
             self.crash(fault)
             return False
+        if fault is engine_faults.Fault.UNREAD_HALF_RESET:
+            return await raw_responses.send_unread(writer, response[:-5])
         writer.write(response)
         if fault is engine_faults.Fault.DUPLICATE_RESPONSE:
             writer.write(response)
--- a/packages/galenaquay/galenaquay/adapters/endpoint_connections.py
+++ b/packages/galenaquay/galenaquay/adapters/endpoint_connections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import errno
 import os
 import socket
 import struct
@@ -59,7 +60,8 @@
     """Distinguishes a reset from an orderly end.
 
     An event loop may report the end of the data although the connection was
-    reset, if both arrive at once.
+    reset, if both arrive at once, or if the sending of the request got the
+    error of the reset.
     """
 
     def __init__(self, reader: ConnectionReader) -> None:
@@ -73,12 +75,15 @@
 
     def eof_received(self) -> bool | None:
         assert self._sock is not None
+        error = 0
         with contextlib.suppress(*peer_liveness.CLOSED_ERRORS):
             error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if error:
-                self._connection_reader.note_failure(
-                    ConnectionResetError(error, 'connection reset')
+        if error or peer_liveness.is_reset(self._sock):
+            self._connection_reader.note_failure(
+                ConnectionResetError(
+                    error or errno.ECONNRESET, 'connection reset'
                 )
+            )
         return super().eof_received()
 
 
--- a/packages/galenaquay/galenaquay/adapters/peer_liveness.py
+++ b/packages/galenaquay/galenaquay/adapters/peer_liveness.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import dataclasses
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -105,6 +106,21 @@
     return queued[0]
 
 
+def is_reset(sock: socket.socket) -> bool:
+    """Returns whether a connection whose data has ended was reset.
+
+    The kernel reports the error of a reset once, to whichever call on the
+    socket comes first. The connection stays closed in both directions, while
+    the peer's orderly end closes one of them.
+    """
+    poll = select.poll()
+    try:
+        poll.register(sock, 0)
+        return bool(poll.poll(0))
+    except CLOSED_ERRORS:
+        return False
+
+
 class SendWatch:
     """Watches one connection until the peer has taken a request."""
 
--- a/tests/features/late_bodies.feature
+++ b/tests/features/late_bodies.feature
@@ -50,6 +50,12 @@
       | unread close |
       | unread reset |
 
+  # Guards against half of a response that looks whole because the sending of the
+  # body, and not the reading of the response, noticed the reset.
+  Scenario: A response that is reset while its request is being sent is not complete
+    Given each service applies the fault "unread half reset" to its next request
+    Then 40 POST requests with 4000000 bytes to "/once/x" get status 502
+
   Scenario: A service that responds and closes the connection gets no more of the body
     Given each service applies the fault "unread close" to its next request
     When a timed POST request with 4000000 bytes is sent to "/once/x"
--- a/tests/features/steps/platform_late_body_steps.py
+++ b/tests/features/steps/platform_late_body_steps.py
@@ -1,6 +1,7 @@
 """Steps for endpoints that read request bodies late or never."""
 
 import asyncio
+import collections
 import os
 import time
 
@@ -140,20 +141,34 @@
     send_body(context, size, target, X_Deadline_Ms=str(time_ms))
 
 
+def send_bodies(context, count, size, target):
+    """Sends requests that each service applies the same fault to."""
+    for engine in endpoints(context, 'service'):
+        engine.faults *= count
+    return [send_body(context, size, target) for _ in range(count)]
+
+
 @then(
     '{count:d} POST requests with {size:d} bytes to "{target}" get the whole '
     'response'
 )
 def step_many_bodies(context, count, size, target):
-    for engine in endpoints(context, 'service'):
-        engine.faults *= count
-    for _ in range(count):
-        response = send_body(context, size, target)
+    for response in send_bodies(context, count, size, target):
         assert response.status == 200, response
         assert response.body == b'{"ok":true}', response
         assert response.is_complete
 
 
+@then(
+    '{count:d} POST requests with {size:d} bytes to "{target}" get status '
+    '{status:d}'
+)
+def step_many_statuses(context, count, size, target, status):
+    responses = send_bodies(context, count, size, target)
+    statuses = collections.Counter(each.status for each in responses)
+    assert set(statuses) == {status}, statuses
+
+
 @then(
     'within {seconds:g} seconds the service has the whole body and nothing '
     'else'
