Cancel the tests' tasks in their own loop

Cause: after_all gathered the pending tasks outside of any loop. Change: the tasks are cancelled and gathered by a coroutine of the tests' loop.

--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -122,11 +122,16 @@
     fleet = context.shared.get('fleet')
     if fleet is not None:
         context.loop.run_until_complete(fleet.stop())
-    # Requests that a stand-in never answers are still pending.
-    pending = asyncio.all_tasks(context.loop)
+    context.loop.run_until_complete(cancel_all())
+    context.loop.close()
+
+
+async def cancel_all():
+    """Cancels what is still running.
+
+    Requests that a stand-in never answers are.
+    """
+    pending = asyncio.all_tasks() - {asyncio.current_task()}
     for task in pending:
         task.cancel()
-    context.loop.run_until_complete(
-        asyncio.gather(*pending, return_exceptions=True)
-    )
-    context.loop.close()
+    await asyncio.gather(*pending, return_exceptions=True)
