--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -17,6 +17,7 @@
 from . import body_transfers
 from . import endpoint_connections
 from ..engines import directory
+from . import http_responses
 from . import peer_liveness
 from ..ports import exchange
 from . import raw_heads
@@ -25,13 +26,6 @@
 LOG: Final = logging.getLogger(__name__)
 # Timeout for connecting to an endpoint, in seconds.
 CONNECT_TIMEOUT_S: Final = 0.25
-# Largest number of bytes per read from a connection.
-READ_BYTES: Final = 32 * 1024
-# Limit on the status line and headers of a response, in bytes; a response
-# beyond it is treated as broken.
-MAX_HEAD_BYTES: Final = 64 * 1024
-# Maximum number of informational responses (status 1xx) before a response.
-MAX_INFORMATIONAL: Final = 16
 
 
 class Codec(Protocol):
@@ -97,7 +91,9 @@
     async def body(self) -> AsyncIterator[bytes]:
         """Yields the body; raises ExchangeBrokenError if it is truncated."""
         while True:
-            event = await _next_event(self._parser, self._connection.reader)
+            event = await http_responses.next_event(
+                self._parser, self._connection.reader
+            )
             if isinstance(event, h11.EndOfMessage):
                 return
             if not isinstance(event, h11.Data):
@@ -120,32 +116,6 @@
             self._connection.abort()
 
 
-async def _next_event(
-    parser: h11.Connection, reader: asyncio.StreamReader
-) -> object:
-    try:
-        while True:
-            event = parser.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            parser.receive_data(await reader.read(READ_BYTES))
-    except (h11.RemoteProtocolError, OSError) as exc:
-        raise exchange.ExchangeBrokenError(
-            str(exc) or type(exc).__name__
-        ) from exc
-
-
-async def _read_head(
-    parser: h11.Connection, reader: asyncio.StreamReader
-) -> object:
-    """Returns the first event that is no informational response."""
-    for _ in range(MAX_INFORMATIONAL + 1):
-        event = await _next_event(parser, reader)
-        if not isinstance(event, h11.InformationalResponse):
-            return event
-    raise exchange.ExchangeBrokenError('too many informational responses')
-
-
 class HttpExchange:
     """Sends requests to endpoints, one connection per request."""
 
@@ -194,9 +164,7 @@
         params: exchange.AttemptParams,
         connection: endpoint_connections.EndpointConnection,
     ) -> HttpResponse | exchange.SendError:
-        parser = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        parser = http_responses.make_parser()
         try:
             request_head = self._format_head(parser, request, params)
         except h11.LocalProtocolError as exc:
@@ -204,13 +172,9 @@
         deadline_s = asyncio.get_running_loop().time() + params.time_left_s
         connection.send(request_head, request.body, params.time_left_s)
         try:
-            event = await _read_head(parser, connection.reader)
+            event = await http_responses.read_head(parser, connection.reader)
         except exchange.ExchangeBrokenError as exc:
             return exchange.SendError(exchange.Failure.BROKEN, str(exc))
-        if not isinstance(event, h11.Response):
-            return exchange.SendError(
-                exchange.Failure.BROKEN, 'closed without an answer'
-            )
         headers = [
             (name.decode('latin-1'), raw_heads.decode(value))
             for name, value in event.headers.raw_items()
--- a/packages/galenaquay/galenaquay/serve.py
+++ b/packages/galenaquay/galenaquay/serve.py
@@ -161,7 +161,6 @@
         """Closes every connection."""
         self.peers.close()
         await self.engines.close()
-        await self.services.close()
         await self.platform.close()
 
 
