Treat statuses above 599 as no response

What callers saw: an endpoint's response with status 600 or 999 was passed on with its seal, as bytes that are no answer in the protocol (MIXED). Cause: h11 refuses statuses below 100 and takes all from 200 to 999; HTTP defines none above 599. Change: read_head refuses them, so that the attempt counts as broken: the request may have run. Result: 600 and 999 failed before for the exchange with endpoints, and pass; 000 and 099 passed before.

--- a/packages/galenaquay/galenaquay/adapters/http_responses.py
+++ b/packages/galenaquay/galenaquay/adapters/http_responses.py
@@ -14,6 +14,8 @@
 MAX_HEAD_BYTES: Final = 64 * 1024
 # Maximum number of informational responses (status 1xx) before a response.
 MAX_INFORMATIONAL: Final = 16
+# Largest status code that HTTP defines a class for.
+MAX_STATUS: Final = 599
 
 
 class BodyTooLargeError(exchange.ExchangeBrokenError):
@@ -56,6 +58,10 @@
             continue
         if not isinstance(event, h11.Response):
             raise exchange.ExchangeBrokenError('closed without an answer')
+        if event.status_code > MAX_STATUS:
+            raise exchange.ExchangeBrokenError(
+                f'status {event.status_code} is not defined'
+            )
         return event
     raise exchange.ExchangeBrokenError('too many informational responses')
 
--- a/tests/features/endless_responses.feature
+++ b/tests/features/endless_responses.feature
@@ -16,5 +16,9 @@
       | client                       | status |
       | the client of services       | 000    |
       | the client of services       | 099    |
+      | the client of services       | 600    |
+      | the client of services       | 999    |
       | the exchange with endpoints  | 000    |
       | the exchange with endpoints  | 099    |
+      | the exchange with endpoints  | 600    |
+      | the exchange with endpoints  | 999    |
