Bound what a faulty engine makes a VM hold

Here: bytes without end in a head or a body were given up after 64 KiB and 4 MiB on the way of requests. But reads of an engine's reservations and orders to it went through a client that keeps all informational responses (1xx) that have arrived: 143 MB and 135 MB in 1.2 s, of a machine's 300 MB, from an engine that sends "100 Continue" without end. The same for reports of the product's own engines (138 MB) and for calls of services.

--- a/packages/galenaquay/galenaquay/adapters/engine_http.py
+++ b/packages/galenaquay/galenaquay/adapters/engine_http.py
@@ -6,20 +6,23 @@
 
 import asyncio
 from typing import Any, Final
+from urllib import parse
 
 import aiohttp
 import orjson
 
 from .. import codes
 from .. import ids
-from . import limited_bodies
+from . import http_calls
 from ..limits import shares
 from ..ports import engine as engine_port
+from ..ports import exchange
 from ..streams import events
 
 # Read buffer of one response, in bytes; aiohttp pauses reading from the engine
 # while more than twice this size is buffered.
 READ_BUFFER_BYTES: Final = 8 * 1024
+DEFAULT_PORT: Final = 80
 # Timeout for connecting to an engine, in seconds.
 CONNECT_TIMEOUT_S: Final = 1.0
 # Timeout for an engine's load or holdings report, in seconds.
@@ -173,21 +176,26 @@
         self, url: str, request_id: ids.RequestId, attempt: int
     ) -> bool:
         """Cancels a request; returns whether the engine confirmed it."""
-        body = {'request_id': request_id, 'attempt': attempt}
+        body = orjson.dumps({'request_id': request_id, 'attempt': attempt})
+        call = http_calls.Call(
+            'POST',
+            '/engine/v1/cancel',
+            [('Content-Type', 'application/json')],
+            body,
+        )
         try:
-            async with (
-                asyncio.timeout(CANCEL_TIMEOUT_S),
-                self.session.post(
-                    f'{url}/engine/v1/cancel', json=body
-                ) as response,
-            ):
-                return response.status == 200
-        except (aiohttp.ClientError, OSError, TimeoutError):
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                response = await http_calls.start(
+                    _address(url), call, CANCEL_TIMEOUT_S
+                )
+        except (exchange.ExchangeBrokenError, OSError):
             return False
+        response.close()
+        return response.status == 200
 
     async def load(self, url: str) -> engine_port.LoadReport | codes.Failure:
         """Reads an engine's load report."""
-        body = await self._get_report(f'{url}/engine/v1/load')
+        body = await self._get_report(url, '/engine/v1/load')
         if isinstance(body, codes.Failure):
             return body
         return engine_port.LoadReport(
@@ -203,7 +211,7 @@
         self, url: str
     ) -> engine_port.HoldingsReport | codes.Failure:
         """Reads the list of requests whose memory an engine holds."""
-        body = await self._get_report(f'{url}/engine/v1/holdings')
+        body = await self._get_report(url, '/engine/v1/holdings')
         if isinstance(body, codes.Failure):
             return body
         holdings = (
@@ -217,22 +225,30 @@
             holdings=tuple(h for h in holdings if h is not None),
         )
 
-    async def _get_report(self, url: str) -> dict[str, Any] | codes.Failure:
+    async def _get_report(
+        self, url: str, target: str
+    ) -> dict[str, Any] | codes.Failure:
+        call = http_calls.Call('GET', target, ())
         try:
-            async with (
-                asyncio.timeout(REPORT_TIMEOUT_S),
-                self.session.get(url) as response,
-            ):
-                if response.status != 200:
-                    return codes.failure(
-                        codes.Code.ENGINE_BROKE, f'answered {response.status}'
-                    )
-                body: dict[str, Any] = orjson.loads(
-                    await limited_bodies.read(response, MAX_REPORT_BYTES)
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                answer = await http_calls.call_at(
+                    _address(url), call, MAX_REPORT_BYTES, REPORT_TIMEOUT_S
                 )
-                return body
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            if answer.status != 200:
+                return codes.failure(
+                    codes.Code.ENGINE_BROKE, f'answered {answer.status}'
+                )
+            body: dict[str, Any] = orjson.loads(answer.body)
+        except (exchange.ExchangeBrokenError, OSError, ValueError) as exc:
             return _engine_failure(exc)
+        return body
+
+
+def _address(url: str) -> http_calls.Address:
+    parts = parse.urlsplit(url)
+    return http_calls.Address(
+        parts.hostname or '', parts.port or DEFAULT_PORT, CONNECT_TIMEOUT_S
+    )
 
 
 def _protocol_extension(request: engine_port.RunRequest) -> dict[str, Any]:
--- a/packages/galenaquay/galenaquay/adapters/run_checks.py
+++ b/packages/galenaquay/galenaquay/adapters/run_checks.py
@@ -3,9 +3,9 @@
 import asyncio
 from typing import Final, Protocol
 
-import h11
-
 from ..engines import directory
+from . import http_calls
+from . import http_responses
 from ..ports import exchange
 
 # Timeout for a whole check, in seconds. Engines answer within some
@@ -16,10 +16,8 @@
 # Pause after a connection that ended without an answer, in seconds. The
 # listener of a process that is being killed may outlive its connections.
 RETRY_PAUSE_S: Final = 0.02
-# Largest size of the head and of the body of an answer, in bytes.
-MAX_HEAD_BYTES: Final = 64 * 1024
+# Largest size of the body of an answer, in bytes.
 MAX_BODY_BYTES: Final = 1024 * 1024
-READ_BYTES: Final = 32 * 1024
 
 
 class RunCodec(Protocol):
@@ -42,10 +40,6 @@
         ...
 
 
-class _NoAnswerError(Exception):
-    """A connection ended without a whole answer."""
-
-
 class RunChecker:
     """Checks whether the known run of an endpoint is still running."""
 
@@ -70,57 +64,24 @@
                         return await self._ask(endpoint)
                     except ConnectionRefusedError:
                         return exchange.RunState.ENDED
-                    except (OSError, _NoAnswerError, h11.RemoteProtocolError):
+                    except http_responses.BodyTooLargeError:
+                        return exchange.RunState.UNKNOWN
+                    except (OSError, exchange.ExchangeBrokenError):
                         await asyncio.sleep(RETRY_PAUSE_S)
         except TimeoutError:
             return exchange.RunState.UNKNOWN
 
     async def _ask(self, endpoint: directory.Endpoint) -> exchange.RunState:
         target, headers = self._codec.encode(endpoint)
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(
-                endpoint.host, endpoint.port
-            )
-        try:
-            parser = h11.Connection(
-                h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-            )
-            data = parser.send(
-                h11.Request(method='GET', target=target, headers=headers)
-            )
-            end = parser.send(h11.EndOfMessage())
-            writer.write((data or b'') + (end or b''))
-            return await self._read_answer(endpoint, parser, reader)
-        finally:
-            writer.transport.abort()
-
-    async def _read_answer(
-        self,
-        endpoint: directory.Endpoint,
-        parser: h11.Connection,
-        reader: asyncio.StreamReader,
-    ) -> exchange.RunState:
-        response: h11.Response | None = None
-        body = b''
-        while True:
-            event = parser.next_event()
-            if event is h11.NEED_DATA:
-                parser.receive_data(await reader.read(READ_BYTES))
-            elif isinstance(event, h11.Response):
-                response = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_BODY_BYTES:
-                    return exchange.RunState.UNKNOWN
-            elif isinstance(event, h11.EndOfMessage) and response is not None:
-                return self._codec.decode(
-                    endpoint,
-                    response.status_code,
-                    [
-                        (name.decode('latin-1'), value.decode('latin-1'))
-                        for name, value in response.headers.raw_items()
-                    ],
-                    body,
-                )
-            elif not isinstance(event, h11.InformationalResponse):
-                raise _NoAnswerError
+        address = http_calls.Address(
+            endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
+        )
+        answer = await http_calls.call_at(
+            address,
+            http_calls.Call('GET', target, headers),
+            MAX_BODY_BYTES,
+            CHECK_TIMEOUT_S,
+        )
+        return self._codec.decode(
+            endpoint, answer.status, answer.headers, answer.body
+        )
