Keep a whole response in one buffer

Cause: read_whole kept a list of chunks; 4 MiB in chunks of two bytes are two million objects of 35 bytes each, about 20 times the limit that the code names. Change: a bytearray, so that MAX_WHOLE_RESPONSE_BYTES bounds the memory. No test of its own: at the speed of parsing such chunks an attempt ends by time long before the limit, so that no run showed the fault.

--- a/packages/galenaquay/galenaquay/outcomes/response_body.py
+++ b/packages/galenaquay/galenaquay/outcomes/response_body.py
@@ -51,15 +51,13 @@
             exchange.ExchangeBrokenError: The body is too large or broken, or
                 it is not shown to be complete.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         async for data in self.data():
-            size += len(data)
-            if size > MAX_WHOLE_RESPONSE_BYTES:
+            body += data
+            if len(body) > MAX_WHOLE_RESPONSE_BYTES:
                 raise exchange.ExchangeBrokenError('the body is too large')
-            parts.append(data)
         await self.check_end()
-        return b''.join(parts)
+        return bytes(body)
 
     async def check_end(self, *, is_inside_event: bool = False) -> None:
         """Checks that a body which has ended is complete.
