Drop parameters that nothing uses

Cause: the short calls were written to carry streams as well, which stayed with the other client. Change: read_data and the size of the read buffer go.

--- a/packages/galenaquay/galenaquay/adapters/endpoint_connections.py
+++ b/packages/galenaquay/galenaquay/adapters/endpoint_connections.py
@@ -15,9 +15,6 @@
 
 from . import peer_liveness
 
-# Size of the read buffer of a connection, in bytes; reading pauses while more
-# than twice this size is buffered.
-BUFFER_BYTES: Final = 64 * 1024
 # Number of bytes that are handed to the kernel at a time.
 SEND_BYTES: Final = 256 * 1024
 # Interval between checks whether the endpoint has taken a request that the
@@ -34,8 +31,8 @@
 class ConnectionReader(asyncio.StreamReader):
     """Delivers all received data before it reports a failure."""
 
-    def __init__(self, buffer_bytes: int) -> None:
-        super().__init__(buffer_bytes, asyncio.get_running_loop())
+    def __init__(self) -> None:
+        super().__init__(loop=asyncio.get_running_loop())
         self._has_ended = False
         self._failure: Exception | None = None
 
@@ -239,18 +236,10 @@
         self._transport.abort()
 
 
-async def connect(
-    host: str, port: int, buffer_bytes: int = BUFFER_BYTES
-) -> EndpointConnection:
-    """Opens a connection; raises OSError if it fails.
-
-    Args:
-        host: The host.
-        port: The port.
-        buffer_bytes: Size of the read buffer, in bytes.
-    """
+async def connect(host: str, port: int) -> EndpointConnection:
+    """Opens a connection; raises OSError if it fails."""
     loop = asyncio.get_running_loop()
-    reader = ConnectionReader(buffer_bytes)
+    reader = ConnectionReader()
     transport, _ = await loop.create_connection(
         lambda: _ConnectionProtocol(reader), host, port
     )
--- a/packages/galenaquay/galenaquay/adapters/http_calls.py
+++ b/packages/galenaquay/galenaquay/adapters/http_calls.py
@@ -66,17 +66,6 @@
         self._parser = parser
         self._connection = connection
 
-    async def read_data(self) -> bytes | None:
-        """Returns the next bytes of the body; None after the last ones.
-
-        Raises:
-            exchange.ExchangeBrokenError: The body is truncated.
-        """
-        event = await http_responses.next_event(
-            self._parser, self._connection.reader
-        )
-        return bytes(event.data) if isinstance(event, h11.Data) else None
-
     async def read_answer(self, max_bytes: int) -> Answer:
         """Returns the response with its body.
 
@@ -97,10 +86,7 @@
 
 
 async def start(
-    address: Address,
-    call: Call,
-    timeout_s: float,
-    buffer_bytes: int = endpoint_connections.BUFFER_BYTES,
+    address: Address, call: Call, timeout_s: float
 ) -> OpenResponse:
     """Sends a call and reads the head of the response.
 
@@ -109,7 +95,6 @@
         call: The call.
         timeout_s: Time for which a peer that reads slowly is sent the call,
             in seconds. The caller ends a call that takes too long.
-        buffer_bytes: Size of the read buffer, in bytes.
 
     Returns:
         The response, which the caller closes.
@@ -121,7 +106,7 @@
     """
     async with asyncio.timeout(address.connect_timeout_s):
         connection = await endpoint_connections.connect(
-            address.host, address.port, buffer_bytes
+            address.host, address.port
         )
     try:
         parser = http_responses.make_parser()
