Keep a fault without a body out of the soak

The soak draws from all faults of the stand-in but a list; the fault 'unread half reset', new with the change to resets, was not on it. It is the only fault drawn that ends a request without reading its body and without the stand-in's note that the body is late, so its record looks like a changed request. Read in the code, not traced in the log, which does not name faults. Change: it joins 'unread reset' and its other relatives on that list.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -27,6 +27,7 @@
     engine_faults.Fault.PLAIN_RESPONSE,
     engine_faults.Fault.UNREAD_CLOSE,
     engine_faults.Fault.UNREAD_RESET,
+    engine_faults.Fault.UNREAD_HALF_RESET,
     engine_faults.Fault.UNREAD_SILENCE,
     engine_faults.Fault.UNREAD_DEATH,
     engine_faults.Fault.READ_DEATH,
