--- a/packages/galenaquay-standins/galenaquay_standins/kv_store.py
+++ b/packages/galenaquay-standins/galenaquay_standins/kv_store.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import base64
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 from typing import Any
 
@@ -23,9 +25,24 @@
     item: dict[str, Any] | None
 
 
+@dataclasses.dataclass
+class Snapshot:
+    """The contents and the history of the store at one moment."""
+
+    revision: int
+    items_by_key: dict[str, dict[str, Any]]
+    events: list[Event]
+
+
 class KvStore:
     """Key-value store that listens on loopback."""
 
+    # Number of restores from a snapshot plus 1, sent in all responses; None
+    # sends no such header.
+    era: int | None
+    # Text that is sent as the header instead, if set.
+    odd_era: str
+
     # Whether the store responds 503 to each call.
     is_busy: bool
     # Whether the next watch gets status 410, as after a compaction of the
@@ -38,6 +55,8 @@
         self.is_busy = False
         self.is_compacted = False
         self.drops_next_watch = False
+        self.era = 1
+        self.odd_era = ''
         self.calls = 0
         self.revision = 1
         self.items_by_key: dict[str, dict[str, Any]] = {}
@@ -47,7 +66,7 @@
 
     async def start(self, port: int) -> None:
         """Starts to listen on a port."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._add_era])
         app.router.add_get('/api/kv-range', self._handle_range)
         app.router.add_get('/api/kv-watch', self._handle_watch)
         self._runner = web.AppRunner(app, access_log=None)
@@ -82,11 +101,40 @@
         self.items_by_key.pop(key, None)
         self._append_event(Event(self.revision, key, None))
 
+    def take_snapshot(self) -> Snapshot:
+        """Returns a copy of the current contents."""
+        return Snapshot(
+            self.revision, dict(self.items_by_key), list(self._events)
+        )
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Goes back to a snapshot; later revisions are given out again."""
+        self.revision = snapshot.revision
+        self.items_by_key = dict(snapshot.items_by_key)
+        self._events = list(snapshot.events)
+        if self.era is not None:
+            self.era += 1
+        self._wake_watches()
+
     def _append_event(self, event: Event) -> None:
         self._events.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._event_added.set()
         self._event_added = asyncio.Event()
 
+    @web.middleware
+    async def _add_era(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        response = await handler(request)
+        if self.odd_era or self.era is not None:
+            response.headers['Store-Era'] = self.odd_era or str(self.era)
+        return response
+
     async def _handle_range(self, request: web.Request) -> web.Response:
         self.calls += 1
         if self.is_busy:
@@ -115,14 +163,16 @@
         try:
             async with asyncio.timeout(int(request.query['waitMs']) / 1000):
                 while (
-                    not self._events_after(prefix, after) and not self.is_busy
+                    not self._events_after(prefix, after)
+                    and not self.is_busy
+                    and after <= self.revision
                 ):
                     await self._event_added.wait()
         except TimeoutError:
             pass
         if self.is_busy:
             return web.Response(status=503)
-        if self.is_compacted:
+        if self.is_compacted or after > self.revision:
             self.is_compacted = False
             return web.Response(status=410)
         return web.json_response(
