Pass on removals that a VM has not seen itself

Cause: a VM that reads all documents anew learns that a document is gone, but not of one that was written and removed meanwhile. A follower that has this document from another VM got only changes, and kept it: an engine that is gone, or a zone that stays empty, for as long as the process lives.

Change: after each complete list, followers with an earlier revision get the complete list too, not only after the first one.

--- a/packages/galenaquay/galenaquay/configuration/mirror.py
+++ b/packages/galenaquay/galenaquay/configuration/mirror.py
@@ -117,11 +117,9 @@
             documents: The documents.
             revision: Revision of the store from which changes may be missing.
         """
-        is_first = not self.revision
         self.apply_listing('', documents, revision)
-        if is_first:
-            # Removals before the first list are not known.
-            self._complete_after = max(self._complete_after, revision)
+        # Removals of documents that this copy never had are not known.
+        self._complete_after = max(self._complete_after, revision)
         self._advance(revision)
         for listener in self._listeners:
             listener.mark_complete()
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -13,6 +13,7 @@
       | large_events         | Events over the size limit for any chunking of the stream  |
       | keys                 | API keys on a VM that is isolated or suspended             |
       | documents            | Documents that two VMs forward to a third VM               |
+      | unknown_removal      | A removal that a source has not seen                       |
       | cold                 | Limits of cold endpoints for 1 to 100 VMs                  |
       | named_limit          | Rates that endpoints name, for 1 to 100 VMs                |
       | equal_ids            | A part of prompts and an endpoint with the same id         |
--- a/tests/properties/document_properties.py
+++ b/tests/properties/document_properties.py
@@ -180,6 +180,25 @@
     }
 
 
+def check_unknown_removal():
+    """A VM learns of a removal from a source that never had the document."""
+    first = mirror_module.Document('a', b'', 2)
+    passing = mirror_module.Document('b', b'', 3)
+    source = mirror_module.Mirror()
+    source.replace_all([first], 2)
+    follower = mirror_module.Mirror()
+    follower.replace_all([first, passing], 3)
+    source.replace_all([first], 4)
+    update = source.changes_since(follower.revision)
+    if update.is_complete:
+        follower.replace_all(
+            [c.document for c in update.changes], update.revision
+        )
+    else:
+        follower.apply(update.changes, update.revision)
+    assert set(follower.documents_by_key) == {'a'}
+
+
 class FailingListener(RecordingSubscriber):
     """Listener that fails on one document."""
 
