Order the store's revisions by its restores

Callers saw: a configuration that the store had confirmed was not in force at any VM (401 and 404 for new keys and routes, removed keys accepted), and requests still went to engines that had said they drain, for as long as the store's revisions stayed below the remembered ones, and in part for ever.

The mirror dropped each change with a number that it had seen, and its check still counted the copy as up to date. A watch got 410 every 10 ms.

Change: a revision is (epoch, number); the epoch is Store-Era, looked at in every answer. After a restore one VM a zone reads all items once. What the store has lost is kept for 3 s, the careful side of each doubt, and the configuration's version never falls; a table that the operator has not written again is not confirmed, so that a lost removal of a key still holds within revokeMs.

Why it works: a change of the new history is above all that was known, at each place that compares, the messages between VMs included.

--- a/packages/galenaquay-standins/galenaquay_standins/kv_store.py
+++ b/packages/galenaquay-standins/galenaquay_standins/kv_store.py
@@ -60,6 +60,8 @@
         self.calls = 0
         self.revision = 1
         self.items_by_key: dict[str, dict[str, Any]] = {}
+        # Revision that the last restore went back to.
+        self._restored_at = 0
         self._events: list[Event] = []
         self._event_added = asyncio.Event()
         self._runner: web.AppRunner | None = None
@@ -110,12 +112,29 @@
     def restore(self, snapshot: Snapshot) -> None:
         """Goes back to a snapshot; later revisions are given out again."""
         self.revision = snapshot.revision
+        self._restored_at = snapshot.revision
         self.items_by_key = dict(snapshot.items_by_key)
         self._events = list(snapshot.events)
         if self.era is not None:
             self.era += 1
         self._wake_watches()
 
+    def write_again(self, lost: Snapshot) -> None:
+        """Writes what a restore has lost, unless it was written since.
+
+        Args:
+            lost: The state of the store right before the restore.
+        """
+        for key in sorted({*lost.items_by_key, *self.items_by_key}):
+            item = lost.items_by_key.get(key)
+            current = self.items_by_key.get(key)
+            if current is not None and current['revision'] > self._restored_at:
+                continue
+            if item is None:
+                self.remove(key)
+            elif current is None or current['value'] != item['value']:
+                self.put(key, base64.b64decode(item['value']))
+
     def _append_event(self, event: Event) -> None:
         self._events.append(event)
         self._wake_watches()
--- a/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/fleet_grpc.py
@@ -24,6 +24,7 @@
 from .. import tasks
 from ..configuration import current as current_module
 from ..configuration import mirror as mirror_module
+from ..configuration.store_revisions import StoreRevision
 from ..engines import workload as workload_module
 from . import fleet_messages
 from ..limits import availability as availability_module
@@ -275,8 +276,9 @@
             # the check look older than it is, never newer.
             age_ms = reply.confirmed_age_ms_plus_one - 1
             checked_at_s = asked_at_s - age_ms / _MS_PER_S
-        self._documents.adopt_check(reply.documents_revision, checked_at_s)
-        self._hedge.note_newer(sender, reply.documents_revision)
+        documents_revision = StoreRevision(reply.documents_revision)
+        self._documents.adopt_check(documents_revision, checked_at_s)
+        self._hedge.note_newer(sender, documents_revision)
 
     def _apply_changes(
         self, message: fleet_pb2.LoadReport | fleet_pb2.LoadReply
--- a/packages/galenaquay/galenaquay/adapters/mirror_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/mirror_grpc.py
@@ -14,6 +14,8 @@
 from ..configuration import compression
 from ..configuration import freshness as freshness_module
 from ..configuration import mirror as mirror_module
+from ..configuration import store_revisions
+from ..configuration.store_revisions import StoreRevision
 from ..membership import fleet as fleet_module
 from ..ports import documents
 
@@ -56,7 +58,7 @@
                 self._freshness.max_source_age_s - age_s,
             )
             await self._copy.wait_for_changes(
-                max(request.revision, request.newest_revision),
+                StoreRevision(max(request.revision, request.newest_revision)),
                 max(0.0, wait_s),
             )
         reply = self._reply(request)
@@ -66,9 +68,11 @@
     def _reply(
         self, request: mirror_pb2.FollowRequest
     ) -> mirror_pb2.FollowReply:
-        update = self._copy.changes_since(request.revision)
+        update = self._copy.changes_since(StoreRevision(request.revision))
         age_s = self._copy.checked_age_s()
-        held_by_key = {held.key: held.revision for held in request.held}
+        held_by_key = {
+            held.key: StoreRevision(held.revision) for held in request.held
+        }
         return mirror_pb2.FollowReply(
             documents=[
                 self._document_message(change, request, held_by_key)
@@ -85,7 +89,7 @@
         self,
         change: mirror_module.Change,
         request: mirror_pb2.FollowRequest,
-        held_by_key: dict[str, int],
+        held_by_key: dict[str, StoreRevision],
     ) -> mirror_pb2.Document:
         document = change.document
         if document is None:
@@ -98,7 +102,8 @@
         is_large = len(document.value) >= mirror_module.LARGE_DOCUMENT_BYTES
         if is_large and request.accepts_compressed:
             base = self._copy.version_of(
-                change.key, held_by_key.get(change.key, 0)
+                change.key,
+                held_by_key.get(change.key, store_revisions.NONE),
             )
             message.value = self._compressed.compress(document, base)
             message.compressed = True
@@ -204,6 +209,9 @@
     """
     if not reply.revision or not reply.checked_age_ms_plus_one:
         raise documents.SourceError('it knows nothing yet')
+    revision = StoreRevision(reply.revision)
+    if _is_of_earlier_epoch(revision, copy):
+        raise documents.SourceError('it has not noticed a restore yet')
     age_s = (reply.checked_age_ms_plus_one - 1) / _MS_PER_S
     try:
         changes = [_change_from_message(m, copy) for m in reply.documents]
@@ -212,10 +220,10 @@
     if reply.whole:
         copy.replace_all(
             [c.document for c in changes if c.document is not None],
-            reply.revision,
+            revision,
         )
     else:
-        copy.apply(changes, reply.revision)
+        copy.apply(changes, revision)
     # The other VM computed the age after this VM had sent its request, so
     # subtracting the age from the time of sending can only make the check
     # look older than it is, never newer. The copy now contains all that the
@@ -224,15 +232,24 @@
     return age_s
 
 
+def _is_of_earlier_epoch(
+    revision: StoreRevision, copy: mirror_module.Mirror
+) -> bool:
+    return store_revisions.epoch_of(revision) < store_revisions.epoch_of(
+        copy.revision
+    )
+
+
 def _change_from_message(
     message: mirror_pb2.Document, copy: mirror_module.Mirror
 ) -> mirror_module.Change:
     document = None
+    revision = StoreRevision(message.revision)
     if not message.removed:
         document = mirror_module.Document(
-            message.key, _value_of(message, copy), message.revision
+            message.key, _value_of(message, copy), revision
         )
-    return mirror_module.Change(message.key, message.revision, document)
+    return mirror_module.Change(message.key, revision, document)
 
 
 def _value_of(
@@ -243,7 +260,7 @@
         return value
     if not message.base_revision:
         return compression.decompress(value)
-    base = copy.version_of(message.key, message.base_revision)
+    base = copy.version_of(message.key, StoreRevision(message.base_revision))
     if base is None:
         raise compression.CompressionError('the base is not known')
     return compression.decompress(value, base.value)
--- a/packages/galenaquay/galenaquay/configuration/mirror.py
+++ b/packages/galenaquay/galenaquay/configuration/mirror.py
@@ -1,7 +1,11 @@
 """A local copy of the platform's documents, with the revisions of changes.
 
-The copy is updated from the platform or from another VM, and no document goes
-back to an older state. Listeners interpret the documents.
+The copy is updated from the platform or from another VM. Within an epoch of
+the platform's store, no document goes back to an older state. When a restore
+of the store begins a new epoch, the copy takes over what the store lists.
+Documents that the list lacks are kept for RESTORE_GRACE_S, within which the
+operator and the endpoints write again what the store has lost. Listeners
+interpret the documents.
 """
 
 import asyncio
@@ -13,6 +17,8 @@
 from typing import Final, Protocol
 
 from .. import clocks
+from . import store_revisions
+from .store_revisions import StoreRevision
 
 LOG: Final = logging.getLogger(__name__)
 # Number of latest removals that are kept for VMs that follow this copy. A VM
@@ -23,6 +29,12 @@
 LARGE_DOCUMENT_BYTES: Final = 4096
 # Total size of the earlier versions that are kept, in bytes.
 MAX_EARLIER_BYTES: Final = 4 * 1024 * 1024
+# Time after a restore of the store for which documents that the store no
+# longer has are kept, in seconds. What is still valid is written again within
+# about two seconds.
+RESTORE_GRACE_S: Final = 3.0
+# Interval between checks whether that time has passed, in seconds.
+SETTLE_CHECK_INTERVAL_S: Final = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,7 +44,7 @@
     key: str
     value: bytes
     # Revision of the store at the last change of this item.
-    revision: int
+    revision: StoreRevision
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,7 +52,7 @@
     """A document that was written or removed."""
 
     key: str
-    revision: int
+    revision: StoreRevision
     # None if the document was removed.
     document: Document | None
 
@@ -54,7 +66,7 @@
     # Whether the changes are the complete set of documents. A document of the
     # follower that is not among them was removed.
     is_complete: bool
-    revision: int
+    revision: StoreRevision
 
 
 class Listener(Protocol):
@@ -68,15 +80,26 @@
         """Processes that the mirror has had the complete set of documents."""
         ...
 
+    def begin_restore(self) -> None:
+        """Processes that the next changes come from a restored store.
+
+        Until `end_restore`, they may be older than what was known before.
+        """
+        ...
+
+    def end_restore(self) -> None:
+        """Processes that what the store had lost has been written again."""
+        ...
+
 
 class Mirror:
     """A copy of the documents, and the time at which it was up to date."""
 
     # Revision of the store up to which the copy is complete; 0 before the
     # first update.
-    revision: int
+    revision: StoreRevision
     # Highest revision of any change in the copy.
-    newest_revision: int
+    newest_revision: StoreRevision
     documents_by_key: dict[str, Document]
 
     def __init__(
@@ -85,8 +108,10 @@
         on_checked: Callable[[float], None] = lambda _: None,
         clock: Callable[[], float] = clocks.boottime_s,
     ) -> None:
-        self.revision = 0
-        self.newest_revision = 0
+        self.revision = store_revisions.NONE
+        self.newest_revision = store_revisions.NONE
+        # Number of restores of the store that this copy has followed.
+        self.restores = 0
         self.documents_by_key = {}
         self._listeners = list(listeners)
         # Called with each time at which the copy was known to be up to date.
@@ -94,22 +119,26 @@
         self._clock = clock
         self._checked_at_s: float | None = None
         # Revision of the removal of each document that was removed.
-        self._removals_by_key: collections.OrderedDict[str, int] = (
+        self._removals_by_key: collections.OrderedDict[str, StoreRevision] = (
             collections.OrderedDict()
         )
         # The kept removals include all removals after this revision.
-        self._complete_after = 0
+        self._complete_after = store_revisions.NONE
         # Earlier versions of large documents, from oldest to newest.
         self._earlier: collections.deque[Document] = collections.deque()
         self._earlier_bytes = 0
         self._changed = asyncio.Event()
+        # Time from which on a check shows that documents of earlier epochs are
+        # lost; None if there has been no restore since the last such check.
+        self._settles_at_s: float | None = None
+        self._restored = asyncio.Event()
 
     def now_s(self) -> float:
         """Returns the current time on the clock for the age of checks."""
         return self._clock()
 
     def replace_all(
-        self, documents: Iterable[Document], revision: int
+        self, documents: Iterable[Document], revision: StoreRevision
     ) -> None:
         """Applies a list of all documents.
 
@@ -117,20 +146,28 @@
             documents: The documents.
             revision: Revision of the store from which changes may be missing.
         """
+        is_first = not self.revision
+        self._follow_epoch(revision)
         self.apply_listing('', documents, revision)
         # Removals of documents that this copy never had are not known.
         self._complete_after = max(self._complete_after, revision)
         self._advance(revision)
+        if is_first and self._has_earlier_documents():
+            # The source keeps documents that the store has lost.
+            self._await_settling()
         for listener in self._listeners:
             listener.mark_complete()
 
     def apply_listing(
-        self, prefix: str, documents: Iterable[Document], revision: int
+        self,
+        prefix: str,
+        documents: Iterable[Document],
+        revision: StoreRevision,
     ) -> None:
         """Applies a list of all documents whose keys have a prefix.
 
         A document that is in the copy but not in the list counts as removed if
-        its last change was before the list.
+        its last change was before the list, in the same epoch of the store.
 
         Args:
             prefix: The prefix.
@@ -146,24 +183,103 @@
             if known.key.startswith(prefix)
             and known.key not in keys
             and known.revision < revision
+            and _epoch(known) == store_revisions.epoch_of(revision)
         ]
         self.apply(changes, self.revision)
 
-    def apply(self, changes: Iterable[Change], revision: int) -> None:
+    def apply(
+        self, changes: Iterable[Change], revision: StoreRevision
+    ) -> None:
         """Applies changes that follow the revision of the copy.
 
-        Changes that the copy already contains are skipped.
+        Changes that the copy already contains are skipped, and so are those
+        of an earlier epoch of the store.
         """
+        self._follow_epoch(revision)
+        epoch = store_revisions.epoch_of(self.revision)
         for change in changes:
-            if change.revision <= self._known_revision(change.key):
+            if store_revisions.epoch_of(change.revision) < epoch:
                 continue
-            was_known = self._store(change)
-            self.newest_revision = max(self.newest_revision, change.revision)
-            if change.document is None and not was_known:
+            if change.revision <= self._known_revision(change.key):
                 continue
-            self._notify(change)
+            self._apply_one(change)
         self._advance(revision)
 
+    def _apply_one(self, change: Change) -> None:
+        old = self.documents_by_key.get(change.key)
+        self._store(change)
+        self.newest_revision = max(self.newest_revision, change.revision)
+        if change.document is None:
+            if old is not None:
+                self._notify(change)
+        elif old is None or not _is_same_write(old, change.document):
+            self._notify(change)
+
+    def _follow_epoch(self, revision: StoreRevision) -> None:
+        """Begins a restore if a revision is of a later epoch."""
+        previous = self.revision
+        epoch = store_revisions.epoch_of(revision)
+        if not previous or epoch <= store_revisions.epoch_of(previous):
+            return
+        self.restores += 1
+        LOG.warning(
+            'store was restored from a snapshot',
+            extra={
+                'epoch': epoch,
+                'previous_epoch': store_revisions.epoch_of(previous),
+                'revision': store_revisions.number_of(revision),
+                'previous_revision': store_revisions.number_of(previous),
+                'grace_s': RESTORE_GRACE_S,
+            },
+        )
+        for listener in self._listeners:
+            listener.begin_restore()
+        self.revision = store_revisions.make_revision(epoch, 0)
+        self._settles_at_s = None
+        self._await_settling()
+
+    def _await_settling(self) -> None:
+        if self._settles_at_s is None:
+            self._settles_at_s = self._clock() + RESTORE_GRACE_S
+            self._restored.set()
+
+    def _has_earlier_documents(self) -> bool:
+        epoch = store_revisions.epoch_of(self.revision)
+        return any(
+            _epoch(document) < epoch
+            for document in self.documents_by_key.values()
+        )
+
+    async def settle_restores(self) -> None:
+        """Settles each restore when its time has passed, until cancelled."""
+        while True:
+            await self._restored.wait()
+            await asyncio.sleep(SETTLE_CHECK_INTERVAL_S)
+            self.settle_if_due()
+
+    def settle_if_due(self) -> None:
+        """Drops what the store has lost, if a check shows it late enough."""
+        if self._settles_at_s is None or self._checked_at_s is None:
+            return
+        if self._checked_at_s < self._settles_at_s:
+            return
+        self._settles_at_s = None
+        self._restored.clear()
+        epoch = store_revisions.epoch_of(self.revision)
+        lost = [
+            document
+            for document in self.documents_by_key.values()
+            if _epoch(document) < epoch
+        ]
+        for document in lost:
+            LOG.info(
+                'document dropped that the store has lost',
+                extra={'key': document.key},
+            )
+            self._apply_one(Change(document.key, self.revision, None))
+        for listener in self._listeners:
+            listener.end_restore()
+
     def _notify(self, change: Change) -> None:
         """Has the listeners interpret a change.
 
@@ -179,27 +295,25 @@
                     extra={'key': change.key, 'revision': change.revision},
                 )
 
-    def _known_revision(self, key: str) -> int:
+    def _known_revision(self, key: str) -> StoreRevision:
         """Returns the revision of the last known change of a document."""
         document = self.documents_by_key.get(key)
         if document is not None:
             return document.revision
-        return self._removals_by_key.get(key, 0)
+        return self._removals_by_key.get(key, store_revisions.NONE)
 
-    def _store(self, change: Change) -> bool:
-        """Stores a change; returns whether the copy had the document."""
+    def _store(self, change: Change) -> None:
         old = self.documents_by_key.pop(change.key, None)
         self._removals_by_key.pop(change.key, None)
         if old is not None:
             self._keep_earlier(old)
         if change.document is not None:
             self.documents_by_key[change.key] = change.document
-            return old is not None
+            return
         self._removals_by_key[change.key] = change.revision
         if len(self._removals_by_key) > MAX_REMOVALS:
             _, dropped_revision = self._removals_by_key.popitem(last=False)
             self._complete_after = max(self._complete_after, dropped_revision)
-        return old is not None
 
     def _keep_earlier(self, document: Document) -> None:
         if len(document.value) < LARGE_DOCUMENT_BYTES:
@@ -209,7 +323,7 @@
         while self._earlier_bytes > MAX_EARLIER_BYTES:
             self._earlier_bytes -= len(self._earlier.popleft().value)
 
-    def _advance(self, revision: int) -> None:
+    def _advance(self, revision: StoreRevision) -> None:
         self.revision = max(self.revision, revision)
         self.newest_revision = max(self.newest_revision, self.revision)
         self._changed.set()
@@ -226,7 +340,7 @@
         self._on_checked(asked_at_s)
 
     def adopt_check(
-        self, newest_revision: int, checked_at_s: float | None
+        self, newest_revision: StoreRevision, checked_at_s: float | None
     ) -> None:
         """Adopts the check of another VM whose changes this copy contains.
 
@@ -249,7 +363,7 @@
             return None
         return self._clock() - self._checked_at_s
 
-    def changes_since(self, revision: int) -> Update:
+    def changes_since(self, revision: StoreRevision) -> Update:
         """Returns the changes after a revision, or all documents.
 
         All documents are returned if the kept removals do not reach back to
@@ -269,7 +383,7 @@
             ]
         return Update(tuple(changes), is_complete, self.revision)
 
-    def version_of(self, key: str, revision: int) -> Document | None:
+    def version_of(self, key: str, revision: StoreRevision) -> Document | None:
         """Returns a version of a document, if the copy still has it."""
         current = self.documents_by_key.get(key)
         if current is not None and current.revision == revision:
@@ -292,7 +406,7 @@
         ]
 
     async def wait_for_changes(
-        self, newest_revision: int, timeout_s: float
+        self, newest_revision: StoreRevision, timeout_s: float
     ) -> None:
         """Waits for a change after a revision, or for a timeout."""
         with contextlib.suppress(TimeoutError):
@@ -300,9 +414,22 @@
                 while self.newest_revision <= newest_revision:
                     await self._changed.wait()
 
-    async def wait_for_revision(self, revision: int, timeout_s: float) -> None:
+    async def wait_for_revision(
+        self, revision: StoreRevision, timeout_s: float
+    ) -> None:
         """Waits until the copy is complete up to a revision."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 while self.revision < revision:
                     await self._changed.wait()
+
+
+def _epoch(document: Document) -> int:
+    return store_revisions.epoch_of(document.revision)
+
+
+def _is_same_write(old: Document, new: Document) -> bool:
+    """Returns whether a restored store lists a document as it was known."""
+    return old.value == new.value and store_revisions.number_of(
+        old.revision
+    ) == store_revisions.number_of(new.revision)
--- a/packages/galenaquay/galenaquay/engines/directory.py
+++ b/packages/galenaquay/galenaquay/engines/directory.py
@@ -97,6 +97,30 @@
                 },
             )
 
+    def is_outdated(self, endpoint: Endpoint) -> bool:
+        """Returns whether an entry is older than what the list has shown.
+
+        An entry is outdated if a later run of the endpoint is listed, or if
+        its run was listed as draining and the entry is from before that.
+        """
+        known = self.endpoints_by_id.get(endpoint.id)
+        if known is not None and endpoint.started_at_ms < known.started_at_ms:
+            return True
+        if endpoint.state is EndpointState.DRAINING:
+            return False
+        found = self.departures.find(endpoint.run)
+        return (
+            found is not None and found[0] is departures_module.Sign.DRAINING
+        )
+
+    def has_zone_besides(self, zones: Iterable[ids.ZoneName]) -> bool:
+        """Returns whether an endpoint outside of some zones is listed."""
+        excluded = set(zones)
+        return any(
+            endpoint.zone not in excluded
+            for endpoint in self.endpoints_by_id.values()
+        )
+
     def remove(self, endpoint_id: ids.EndpointId) -> None:
         """Removes an endpoint from the list."""
         removed = self.endpoints_by_id.pop(endpoint_id, None)
--- a/packages/galenaquay/galenaquay/membership/hedging.py
+++ b/packages/galenaquay/galenaquay/membership/hedging.py
@@ -16,6 +16,8 @@
 from .. import telemetry
 from ..configuration import freshness as freshness_module
 from ..configuration import mirror as mirror_module
+from ..configuration import store_revisions
+from ..configuration.store_revisions import StoreRevision
 from . import fleet as fleet_module
 from ..ports import documents
 
@@ -71,7 +73,7 @@
             self._start(member, 0.0)
 
     def note_newer(
-        self, member: fleet_module.Member, newest_revision: int
+        self, member: fleet_module.Member, newest_revision: StoreRevision
     ) -> None:
         """Has a VM asked that reported a change unless the change arrives."""
         if newest_revision > self._mirror.newest_revision:
@@ -81,7 +83,7 @@
         self,
         member: fleet_module.Member,
         grace_s: float,
-        newest_revision: int = 0,
+        newest_revision: StoreRevision = store_revisions.NONE,
     ) -> None:
         if len(self._requests) >= MAX_REQUESTS:
             return
@@ -95,10 +97,12 @@
         self,
         member: fleet_module.Member,
         grace_s: float,
-        newest_revision: int,
+        newest_revision: StoreRevision,
     ) -> None:
         if grace_s:
-            await self._mirror.wait_for_changes(newest_revision - 1, grace_s)
+            await self._mirror.wait_for_changes(
+                StoreRevision(newest_revision - 1), grace_s
+            )
             if self._mirror.newest_revision >= newest_revision:
                 return
         members = self._open_members()
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -13,7 +13,6 @@
       | large_events         | Events over the size limit for any chunking of the stream  |
       | keys                 | API keys on a VM that is isolated or suspended             |
       | documents            | Documents that two VMs forward to a third VM               |
-      | unknown_removal      | A removal that a source has not seen                       |
       | cold                 | Limits of cold endpoints for 1 to 100 VMs                  |
       | named_limit          | Rates that endpoints name, for 1 to 100 VMs                |
       | equal_ids            | A part of prompts and an endpoint with the same id         |
@@ -88,6 +87,10 @@
       | hedge_error_responses | Two attempts that get error responses                     |
       | no_hedge             | Requests that must not be hedged                           |
       | hedge_long_prompts   | Hedges of long prompts                                     |
+      | unknown_removal      | A removal that a source has not seen                       |
+      | restores             | Documents of a store that is restored from snapshots       |
+      | lost_drain           | An endpoint whose drain a restored store has lost          |
+      | lost_revocation      | A removed key whose removal a restored store has lost      |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
     Then the property "memory_of_dead_late" holds
--- a/tests/features/restored_store.feature
+++ b/tests/features/restored_store.feature
@@ -53,6 +53,7 @@
     And the store is copied
     And the services write their records 30 times
     And the store comes back from the copy
+    And the operator writes the configuration again
     And one service is marked as draining
     Then after 1 seconds no running entry process sends requests to the draining service
 
--- a/tests/properties/document_properties.py
+++ b/tests/properties/document_properties.py
@@ -96,6 +96,12 @@
     def mark_complete(self):
         pass
 
+    def begin_restore(self):
+        pass
+
+    def end_restore(self):
+        pass
+
     def apply_change(self, change):
         assert self._last_revision_by_key.get(change.key, 0) < change.revision
         self._last_revision_by_key[change.key] = change.revision
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,10 @@
 # A zone is withdrawn for this multiple of the duration, as VMs may take some
 # time to follow.
 WITHDRAWAL_FACTOR = 2.0
+# Longest time for which the store is away before it is restored, in seconds.
+RESTORE_AWAY_S = 0.5
+# Longest time after a restore until lost items are written again, in seconds.
+REWRITE_S = 1.0
 # Complete answers of other kinds, which clients get as they are, crashes after
 # which nothing would start the engine again, and answers of engines that do
 # not read the request, which `promises` would take for a changed one.
@@ -173,6 +177,24 @@
     world.store.is_compacted = True
 
 
+@fault
+async def restore_store(world, rng, duration_s):
+    """Restores the store from a snapshot some time old.
+
+    The store is away for a moment. What was written since the snapshot is
+    written again some time later.
+    """
+    snapshot = world.store.take_snapshot()
+    await asyncio.sleep(duration_s)
+    world.store.is_busy = True
+    await asyncio.sleep(rng.uniform(0.0, RESTORE_AWAY_S))
+    lost = world.store.take_snapshot()
+    world.store.restore(snapshot)
+    world.store.is_busy = False
+    await asyncio.sleep(rng.uniform(0.0, REWRITE_S))
+    world.store.write_again(lost)
+
+
 @fault
 async def replace_key(world, rng, duration_s):
     world.revoked_at_s[world.key] = time.monotonic()
