--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,6 +5,9 @@
 import socket
 import struct
 
+# Connections that fill the queue of a listener which accepts none.
+BLOCKING_CONNECTIONS = 4
+
 
 @dataclasses.dataclass
 class Impairment:
@@ -33,6 +36,9 @@
         self._stalled_writers = set()
         self._tasks = set()
         self._server = None
+        # Sockets that fill the queue of a port that does not answer.
+        self._blockers = []
+        self._connecting = []
         # When the responses that were passed on have left a limited link, on
         # the clock of the event loop, in seconds.
         self._responses_sent_at_s = 0.0
@@ -44,10 +50,49 @@
 
     async def stop(self):
         self._server.close()
+        await self._close_blockers()
         self.reset_all()
         for task in list(self._tasks):
             task.cancel()
 
+    def refuse(self):
+        """Refuses new connections; those that are open live on."""
+        self._server.close()
+
+    async def block(self):
+        """Leaves attempts to connect unanswered, as behind a partition."""
+        self._server.close()
+        loop = asyncio.get_running_loop()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(('127.0.0.1', self.port))
+        listener.listen(0)
+        self._blockers.append(listener)
+        # The kernel drops attempts to connect while its queue is full.
+        for _ in range(BLOCKING_CONNECTIONS):
+            sock = socket.socket()
+            sock.setblocking(False)
+            self._blockers.append(sock)
+            connecting = asyncio.ensure_future(
+                loop.sock_connect(sock, ('127.0.0.1', self.port))
+            )
+            self._connecting.append(connecting)
+        await asyncio.sleep(0.05)
+
+    async def _close_blockers(self):
+        for connecting in self._connecting:
+            connecting.cancel()
+        await asyncio.gather(*self._connecting, return_exceptions=True)
+        for sock in self._blockers:
+            sock.close()
+        self._connecting.clear()
+        self._blockers.clear()
+
+    async def reopen(self):
+        """Accepts connections again."""
+        await self._close_blockers()
+        await self.start()
+
     def reset_all(self):
         """Resets every open connection."""
         for writer in list(self._writers):
