Have other VMs forward while no engine is reached

Cause: a VM knew only its own way to the engines; its attempts went to one engine after the other behind the same cut.

Change: a VM that could not connect to three endpoints (or all, if fewer) since its last connection counts as cut off; connections without a request probe for the end of that. Meanwhile it has other VMs forward its requests (service Relay on the port for VMs): those of its zone first, each for a second no more if it declines. The other VM says that it takes a request before the request is sent, so that one that was not taken certainly did not run; one that was lost after that gets 502, a response that broke off is incomplete. A request is passed on once. The end of the call ends the request; a shutdown waits for it. A request for which four endpoints were not reached is passed on as well before it is refused.

Why it works: the one thing that the cut took is the link to the engines; limits, notices, quarantine and placing stay with the VM that sends.

--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -16,6 +16,7 @@
 
 from . import body_transfers
 from . import endpoint_connections
+from ..engines import contact as contact_module
 from ..engines import directory
 from . import http_responses
 from . import peer_liveness
@@ -124,8 +125,18 @@
         codec: Codec,
         run_codec: run_checks.RunCodec,
         transfers: body_transfers.BodyTransfers,
+        contact: contact_module.Contact | None = None,
     ) -> None:
+        """Creates a client.
+
+        Args:
+            codec: Encodes and decodes the headers.
+            run_codec: Decodes the reports of endpoints.
+            transfers: Keeps the connections of bodies that are still sent.
+            contact: Is told which endpoints accept connections.
+        """
         self._codec = codec
+        self._contact = contact
         self._run_checker = run_checks.RunChecker(run_codec)
         self._transfers = transfers
 
@@ -140,9 +151,13 @@
                     endpoint.host, endpoint.port
                 )
         except (OSError, TimeoutError) as exc:
+            if self._contact is not None:
+                self._contact.record_unreachable(endpoint.id)
             return exchange.SendError(
                 exchange.Failure.NOT_SENT, str(exc) or 'no connection in time'
             )
+        if self._contact is not None:
+            self._contact.record_connected()
         try:
             response = await self._exchange(request, params, connection)
         except BaseException:
--- a/packages/galenaquay/galenaquay/outcomes/dependencies.py
+++ b/packages/galenaquay/galenaquay/outcomes/dependencies.py
@@ -20,6 +20,7 @@
 from ..limits import quarantine as quarantine_module
 from ..limits import trial_grants as trial_grants_module
 from ..ports import exchange
+from . import relaying as relaying_module
 from . import response_ends as response_ends_module
 from ..routing import placement as placement_module
 from ..waiting import room as room_module
@@ -88,3 +89,5 @@
     room: room_module.Room
     waiting_sums: sums_module.WaitingSums
     hedging: hedging_module.Hedging
+    # Has other VMs forward requests; None if there are no other VMs.
+    relaying: relaying_module.Relaying | None = None
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -23,9 +23,22 @@
         )
 
     async def serve(
-        self, request: exchange.Request, writer: exchange.ResponseWriter
+        self,
+        request: exchange.Request,
+        writer: exchange.ResponseWriter,
+        *,
+        is_relayed: bool = False,
+        attempts: int = 0,
     ) -> None:
-        """Serves one request and sends the response to the caller."""
+        """Serves one request and sends the response to the caller.
+
+        Args:
+            request: The request.
+            writer: Gets the response.
+            is_relayed: Whether another VM has passed the request on. It is
+                not passed on again.
+            attempts: Number of attempts of the other VM that may have run.
+        """
         decision = self._decide(request)
         if isinstance(decision, admission.Refusal):
             await self._refuse(request, writer, decision)
@@ -33,7 +46,11 @@
         self._dependencies.budget.earn(decision.service.name)
         self._dependencies.hedging.record_request(decision.account)
         await journeys.RequestForwarding(
-            self._dependencies, decision, writer
+            self._dependencies,
+            decision,
+            writer,
+            is_relayed=is_relayed,
+            attempts=attempts,
         ).run()
 
     def _decide(
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -19,6 +19,7 @@
 from ..limits import quarantine as quarantine_module
 from . import placing
 from ..ports import exchange
+from ..ports import relays
 from . import quarantine_check
 from . import refusals
 from ..routing import placement as placement_module
@@ -56,7 +57,11 @@
         dependencies: dependencies_module.Dependencies,
         admitted: admission.AdmittedRequest,
         writer: exchange.ResponseWriter,
+        *,
+        is_relayed: bool = False,
+        attempts: int = 0,
     ) -> None:
+        """Prepares the forwarding of a request; see `Forwarder.serve`."""
         self._dependencies = dependencies
         self._admitted = admitted
         self._request = admitted.request
@@ -65,7 +70,8 @@
         self._loop = asyncio.get_running_loop()
         self._unsent_attempts = 0
         self._excluded: set[ids.EndpointId] = set()
-        self._may_have_run = False
+        self._may_have_run = attempts > 0
+        self._is_relayed = is_relayed
         self._quarantine_check = quarantine_check.QuarantineCheck(
             dependencies, admitted
         )
@@ -75,6 +81,7 @@
             event_relay.EventRelay(writer, admitted.request.last_event_id),
             self._loop.time(),
             self._quarantine_check,
+            attempts,
         )
         self._placing = placing.Placing(
             dependencies, admitted, self._forwarded.started_s
@@ -110,6 +117,12 @@
         Returns:
             Whether the request has ended; False if another attempt follows.
         """
+        if self._needs_relay():
+            if await self._relay():
+                return True
+            if self._unsent_attempts >= MAX_UNSENT_ATTEMPTS:
+                await self._give_up('no connection', 502)
+                return True
         blamed = await self._quarantine_check.find_blamed(self._time_left_s())
         if blamed:
             await self._refuse_quarantined(blamed)
@@ -139,6 +152,42 @@
         self._log_end('answered', status=status)
         return True
 
+    def _needs_relay(self) -> bool:
+        """Returns whether another VM should forward the request."""
+        relaying = self._dependencies.relaying
+        if relaying is None or self._is_relayed or self._writer.is_started:
+            return False
+        return (
+            relaying.is_needed()
+            or self._unsent_attempts >= MAX_UNSENT_ATTEMPTS
+        )
+
+    async def _relay(self) -> bool:
+        """Has other VMs forward the request.
+
+        Returns:
+            Whether the request has ended.
+        """
+        assert self._dependencies.relaying is not None
+        relayed = await self._dependencies.relaying.relay(
+            self._request,
+            self._admitted.deadline_s,
+            self._forwarded.attempts,
+            self._writer,
+        )
+        if relayed.outcome is relays.Outcome.NOT_RUN:
+            return False
+        if relayed.outcome is relays.Outcome.LOST:
+            self._may_have_run = True
+            await self._give_up(f'the other VM: {relayed.reason}', 502)
+        else:
+            self._log_end(
+                f'relayed, {relayed.outcome.value}',
+                relayed.status,
+                relayed.reason,
+            )
+        return True
+
     async def _handle_failure(
         self,
         attempt: forwarding_attempt.ForwardingAttempt,
@@ -324,6 +373,8 @@
         if error.failure is exchange.Failure.NOT_SENT:
             if self._unsent_attempts < MAX_UNSENT_ATTEMPTS:
                 return True
+            if self._needs_relay():
+                return True
             await self._give_up('no connection', 502)
             return False
         is_allowed = self._forwarded.attempts < self._route.max_attempts and (
