Do not count an unsent request as sent

Cause: where the time for an attempt is shorter than that for its connection, the attempt's timeout ended the connecting, and it counted as one that may have run: the only attempt of many routes, and one of the retry budget.

Change: the connection gets nine tenths of the attempt's time at most, and its end is "not sent".

--- a/packages/galenaquay/galenaquay/adapters/exchange_http.py
+++ b/packages/galenaquay/galenaquay/adapters/exchange_http.py
@@ -146,7 +146,7 @@
         """Sends a request once; returns the response without its body."""
         endpoint = params.endpoint
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(_connect_timeout_s(params)):
                 connection = await endpoint_connections.connect(
                     endpoint.host, endpoint.port
                 )
@@ -235,3 +235,9 @@
             parser.send_with_data_passthrough(h11.Data(data=request.body))
         parser.send(h11.EndOfMessage())
         return head or b''
+
+
+def _connect_timeout_s(params: exchange.AttemptParams) -> float:
+    if params.connect_timeout_s is None:
+        return CONNECT_TIMEOUT_S
+    return min(CONNECT_TIMEOUT_S, params.connect_timeout_s)
--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -28,6 +28,8 @@
 # Share of the remaining time that an attempt may wait for the first byte of
 # the response, as long as another attempt is allowed.
 FIRST_BYTE_TIMEOUT_SHARE: Final = 0.45
+# Share of that time within which the endpoint must accept the connection.
+CONNECT_TIMEOUT_SHARE: Final = 0.9
 # A request to an engine may wait for the first event at least this multiple of
 # the estimated time to the first event, plus a fixed time in seconds, before
 # another engine is tried.
@@ -242,6 +244,10 @@
     ) -> exchange.Response:
         self._check_available()
         endpoint = self._placement.endpoint
+        timeout_s = self._first_byte_timeout_s()
+        connect_timeout_s = None
+        if timeout_s is not None:
+            connect_timeout_s = timeout_s * CONNECT_TIMEOUT_SHARE
         params = exchange.AttemptParams(
             endpoint,
             self._admitted.account,
@@ -249,8 +255,8 @@
             helpers,
             self._forwarded.relay.last_event_id,
             self._admitted.priority_class,
+            connect_timeout_s,
         )
-        timeout_s = self._first_byte_timeout_s()
         try:
             async with asyncio.timeout(timeout_s) as timeout:
                 self._head_timeout_at_s = timeout.when()
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -181,8 +181,9 @@
             self._may_have_run = True
             await self._give_up(f'the other VM: {relayed.reason}', 502)
         else:
+            is_broken = relayed.outcome is relays.Outcome.BROKEN
             self._log_end(
-                f'relayed, {relayed.outcome.value}',
+                'broken off' if is_broken else 'relayed',
                 relayed.status,
                 relayed.reason,
             )
--- a/packages/galenaquay/galenaquay/ports/exchange.py
+++ b/packages/galenaquay/galenaquay/ports/exchange.py
@@ -75,6 +75,10 @@
     last_event_id: str | None = None
     # Class by which engines order requests; None leaves the order to them.
     priority_class: ids.PriorityClass | None = None
+    # Timeout for the connection, in seconds; None leaves it to the adapter.
+    # It ends before a timeout for the whole attempt, after which it would not
+    # be known whether the request was sent.
+    connect_timeout_s: float | None = None
 
 
 class Failure(enum.Enum):
--- a/tests/features/partitioned_vm.feature
+++ b/tests/features/partitioned_vm.feature
@@ -59,3 +59,9 @@
     And 3 seconds pass
     And the other entry process gets SIGTERM 0.8 seconds after a request to "/tell/x"
     Then the caller receives the complete stream there
+
+  Scenario: A request with little time that was not sent is refused as not run
+    Given 1 entry processes with links of their own to the endpoints
+    When the other entry process is killed
+    And the links to all endpoints do not answer
+    Then a request to "/brief/x" there gets 503 within 0.5 seconds
--- a/tests/features/steps/platform_partition_steps.py
+++ b/tests/features/steps/platform_partition_steps.py
@@ -171,6 +171,18 @@
     )
 
 
+@when('the other entry process is killed')
+def step_other_killed(context):
+    fixture = fixture_of(context)
+
+    async def kill():
+        process = fixture.processes.pop(0)
+        process.kill()
+        await process.wait()
+
+    platform_asking.run(context, kill())
+
+
 async def end_during_request(context, target, seconds, signal_number):
     fixture = fixture_of(context)
     pending = asyncio.ensure_future(ask(fixture, 1, target))
