Keep the promises of requests that VMs pass on

Change: a request counts as one that may have run while another VM has it; a call is read to its end; a response that is complete stays so; the window is 256 KiB.

Result: "A request that another entry process keeps for too long is not refused" got 503 before, and two of the four new properties (request, ends) failed; all pass.

--- a/packages/galenaquay/galenaquay/adapters/relay_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/relay_grpc.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import logging
 import math
 from typing import Any, Final
@@ -13,6 +14,7 @@
 from galenaquay_api import relay_grpc
 from galenaquay_api import relay_pb2
 import grpclib.client
+import grpclib.config
 import grpclib.const
 import grpclib.exceptions
 import grpclib.server
@@ -26,18 +28,41 @@
 LOG: Final = logging.getLogger(__name__)
 # Timeout for the connection to a VM and its readiness, in seconds.
 READY_TIMEOUT_S: Final = 0.4
+# Part of a response that is held for a caller who reads slowly, in bytes.
+WINDOW_BYTES: Final = 256 * 1024
 # Largest time that a message can hold, in milliseconds.
 _MAX_MS: Final = (1 << 32) - 1
 _MS_PER_S: Final = 1000
+_CONFIGURATION: Final = grpclib.config.Configuration(
+    http2_connection_window_size=WINDOW_BYTES,
+    http2_stream_window_size=WINDOW_BYTES,
+)
+
+
+class EndedEarlyError(Exception):
+    """A VM has ended a call without a complete response."""
+
+
 _CALL_ERRORS: Final = (
     OSError,
     TimeoutError,
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.ProtocolError,
     grpclib.exceptions.StreamTerminatedError,
+    EndedEarlyError,
 )
 
 
+@dataclasses.dataclass
+class _Progress:
+    """How far a call has come, whatever ends it."""
+
+    # Whether the other VM may have the request.
+    is_sent: bool = False
+    # The outcome, once the caller has the whole response.
+    relayed: relays_port.Relayed | None = None
+
+
 class GrpcRelays:
     """Implements the port `Relays` over gRPC."""
 
@@ -54,25 +79,26 @@
     ) -> relays_port.Relayed:
         """Has a VM forward a request; see the port."""
         host, _, port = address.rpartition(':')
-        channel = grpclib.client.Channel(host, int(port))
+        channel = grpclib.client.Channel(
+            host, int(port), config=_CONFIGURATION
+        )
         message = self._message(request, time_left_s, attempts)
-        is_sent = False
+        progress = _Progress()
         try:
             async with relay_grpc.RelayStub(channel).Forward.open() as stream:
                 async with asyncio.timeout(READY_TIMEOUT_S):
                     await stream.send_request()
                     frame = await stream.recv_message()
                 if frame is None or not frame.readiness.accepts:
-                    await stream.cancel()
                     return _not_run('not accepted')
-                is_sent = True
+                progress.is_sent = True
                 await stream.send_message(message, end=True)
-                relayed = await _pass_on(stream, writer)
-                await stream.cancel()
-                return relayed
+                return await _pass_on(stream, writer, progress)
         except _CALL_ERRORS as exc:
             reason = str(exc) or type(exc).__name__
-            if not is_sent:
+            if progress.relayed is not None:
+                return progress.relayed
+            if not progress.is_sent:
                 return _not_run(reason)
             if writer.is_started:
                 writer.abort()
@@ -110,7 +136,9 @@
 
 
 async def _pass_on(
-    stream: 'grpclib.client.Stream[Any, Any]', writer: exchange.ResponseWriter
+    stream: 'grpclib.client.Stream[Any, Any]',
+    writer: exchange.ResponseWriter,
+    progress: _Progress,
 ) -> relays_port.Relayed:
     """Passes the frames of a response on to the caller."""
     status = 0
@@ -118,8 +146,8 @@
     while (frame := await stream.recv_message()) is not None:
         kind = frame.WhichOneof('frame')
         if kind == 'refusal':
-            return await _refuse(frame.refusal, writer)
-        if kind == 'head':
+            progress.relayed = await _refuse(frame.refusal, writer)
+        elif kind == 'head':
             status = frame.head.status
             head = _head_from_message(frame.head)
             if frame.head.is_whole:
@@ -128,13 +156,19 @@
                 await writer.start(head)
         elif kind == 'data' and whole is not None:
             await writer.send_whole(whole, frame.data)
-            return relays_port.Relayed(relays_port.Outcome.ANSWERED, status)
+            progress.relayed = _answered(status)
         elif kind == 'data':
             await writer.write(frame.data)
         elif kind == 'end':
             await writer.finish()
-            return relays_port.Relayed(relays_port.Outcome.ANSWERED, status)
-    raise grpclib.exceptions.StreamTerminatedError('the response ended early')
+            progress.relayed = _answered(status)
+    if progress.relayed is None:
+        raise EndedEarlyError('the response ended early')
+    return progress.relayed
+
+
+def _answered(status: int) -> relays_port.Relayed:
+    return relays_port.Relayed(relays_port.Outcome.ANSWERED, status)
 
 
 async def _refuse(
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -169,6 +169,9 @@
             Whether the request has ended.
         """
         assert self._dependencies.relaying is not None
+        had_run = self._may_have_run
+        # Holds if the time ends while another VM has the request.
+        self._may_have_run = True
         relayed = await self._dependencies.relaying.relay(
             self._request,
             self._admitted.deadline_s,
@@ -176,9 +179,9 @@
             self._writer,
         )
         if relayed.outcome is relays.Outcome.NOT_RUN:
+            self._may_have_run = had_run
             return False
         if relayed.outcome is relays.Outcome.LOST:
-            self._may_have_run = True
             await self._give_up(f'the other VM: {relayed.reason}', 502)
         else:
             is_broken = relayed.outcome is relays.Outcome.BROKEN
--- a/tests/features/partitioned_vm.feature
+++ b/tests/features/partitioned_vm.feature
@@ -52,6 +52,14 @@
     And the other entry process is killed 0.8 seconds after a request to "/once/x"
     Then the response has status 502
 
+  Scenario: A request that another entry process keeps for too long is not refused
+    Given 1 entry processes with links of their own to the endpoints
+    And the services never respond
+    When the links to all endpoints do not answer
+    And 3 seconds pass
+    And the other entry process is paused 0.8 seconds after a request to "/once/x"
+    Then the response has status 504
+
   Scenario: A shutdown waits for requests of a partitioned entry process
     Given 1 entry processes with links of their own to the endpoints
     And each engine sends an event every 0.3 seconds
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -88,6 +88,10 @@
       | no_hedge             | Requests that must not be hedged                           |
       | hedge_long_prompts   | Hedges of long prompts                                     |
       | unknown_removal      | A removal that a source has not seen                       |
+      | relayed_request      | A request and a response by way of another VM              |
+      | relayed_ends         | Ends of responses by way of another VM                     |
+      | relayed_slow_caller  | A caller that does not read a response of another VM       |
+      | contact              | Endpoints that cannot be reached one after the other       |
       | restores             | Documents of a store that is restored from snapshots       |
       | lost_drain           | An endpoint whose drain a restored store has lost          |
       | lost_revocation      | A removed key whose removal a restored store has lost      |
--- a/tests/features/steps/platform_partition_steps.py
+++ b/tests/features/steps/platform_partition_steps.py
@@ -201,6 +201,16 @@
     )
 
 
+@when(
+    'the other entry process is paused {seconds:g} seconds after a request to '
+    '"{target}"'
+)
+def step_pause_other(context, seconds, target):
+    platform_asking.run(
+        context, end_during_request(context, target, seconds, signal.SIGSTOP)
+    )
+
+
 @when(
     'the other entry process gets SIGTERM {seconds:g} seconds after a request '
     'to "{target}"'
