Take more failures for being cut off

Change: ten endpoints in a row, or all if fewer; the probes try three others at once, and eight more if none of these opens.

--- a/packages/galenaquay/galenaquay/adapters/contact_probe.py
+++ b/packages/galenaquay/galenaquay/adapters/contact_probe.py
@@ -11,8 +11,10 @@
 from ..engines import contact as contact_module
 from ..engines import directory as directory_module
 
-# Number of endpoints that are probed at the same time.
+# Number of endpoints that are probed at the same time, and that number once
+# none of these was reached.
 PROBED_ENDPOINTS: Final = 3
+PROBED_FURTHER: Final = 8
 # Timeout for a connection, in seconds.
 CONNECT_TIMEOUT_S: Final = 0.25
 # Pause between two probes, in seconds.
@@ -36,14 +38,24 @@
         """Probes endpoints after each failed attempt, until one is reached."""
         while True:
             await self._contact.wait_suspected()
-            endpoints = list(self._directory.endpoints_by_id.values())
-            count = min(PROBED_ENDPOINTS, len(endpoints))
-            await asyncio.gather(
-                *map(self._probe, self._rng.sample(endpoints, count))
-            )
+            reaches_one = await self._probe_some(PROBED_ENDPOINTS)
+            if not reaches_one and not self._contact.is_cut_off():
+                await self._probe_some(PROBED_FURTHER)
             await asyncio.sleep(PAUSE_S)
 
-    async def _probe(self, endpoint: directory_module.Endpoint) -> None:
+    async def _probe_some(self, most: int) -> bool:
+        """Probes some endpoints, at first those that were not tried lately.
+
+        Returns:
+            Whether one of them was reached.
+        """
+        endpoints = self._contact.untried() or list(
+            self._directory.endpoints_by_id.values()
+        )
+        drawn = self._rng.sample(endpoints, min(most, len(endpoints)))
+        return any(await asyncio.gather(*map(self._probe, drawn)))
+
+    async def _probe(self, endpoint: directory_module.Endpoint) -> bool:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 connection = await endpoint_connections.connect(
@@ -51,6 +63,7 @@
                 )
         except (OSError, TimeoutError):
             self._contact.record_unreachable(endpoint.id)
-            return
+            return False
         connection.abort()
         self._contact.record_connected()
+        return True
--- a/packages/galenaquay/galenaquay/adapters/relay_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/relay_grpc.py
@@ -39,6 +39,10 @@
 )
 
 
+class NotAcceptedError(Exception):
+    """A VM cannot forward requests at the moment."""
+
+
 class EndedEarlyError(Exception):
     """A VM has ended a call without a complete response."""
 
@@ -49,6 +53,7 @@
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.ProtocolError,
     grpclib.exceptions.StreamTerminatedError,
+    NotAcceptedError,
     EndedEarlyError,
 )
 
@@ -90,7 +95,7 @@
                     await stream.send_request()
                     frame = await stream.recv_message()
                 if frame is None or not frame.readiness.accepts:
-                    return _not_run('not accepted')
+                    raise NotAcceptedError('not accepted')
                 progress.is_sent = True
                 await stream.send_message(message, end=True)
                 return await _pass_on(stream, writer, progress)
--- a/packages/galenaquay/galenaquay/engines/contact.py
+++ b/packages/galenaquay/galenaquay/engines/contact.py
@@ -1,7 +1,7 @@
 """Whether this VM reaches any endpoint.
 
 A VM may lose its links to all endpoints while callers and other VMs still
-reach it. One endpoint that cannot be reached says little, several of them
+reach it. A few endpoints that cannot be reached may have ended, many of them
 without a connection in between say that it is this VM.
 """
 
@@ -17,7 +17,7 @@
 LOG: Final = logging.getLogger(__name__)
 # Number of endpoints without a connection from which on this VM counts as cut
 # off; all listed endpoints if there are fewer.
-MIN_UNREACHABLE: Final = 3
+MIN_UNREACHABLE: Final = 10
 # Time for which a failed attempt to connect counts, in seconds.
 FAILURE_MEMORY_S: Final = 3.0
 
@@ -44,6 +44,14 @@
         """Waits until there was a failed attempt since the last connection."""
         await self._suspected.wait()
 
+    def untried(self) -> list[directory_module.Endpoint]:
+        """Returns the listed endpoints without a recent failed attempt."""
+        return [
+            endpoint
+            for endpoint in self._directory.endpoints_by_id.values()
+            if endpoint.id not in self._failed_at_s_by_id
+        ]
+
     def record_connected(self) -> None:
         """Records that an endpoint has accepted a connection."""
         if self._cut_off_at_s is not None:
