--- a/tests/features/restored_store.feature
+++ b/tests/features/restored_store.feature
@@ -122,3 +122,11 @@
     When the store sends "x1" as its era
     Then each entry process accepts a new API key within 1 second
     And the invalid header is logged once
+
+  Scenario: Responses from before a restore confirm nothing
+    When the store is copied
+    And the store comes back from the copy
+    And the operator writes the configuration again
+    And 0.5 seconds pass
+    And the store sends "1" as its era
+    Then a request with an API key gets 503 within bounds.revokeMs
