Run the scenarios of VM faults beside the others

Cause: two new features of 31 scenarios that mostly wait would take the run of all tests beyond ten minutes.

Change: they are a part of their own in tools/run_tests.py, with other ports. Each scenario still runs once.

--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -25,12 +25,19 @@
 # Runs of the tests at the same time on one machine need different sets of
 # ports, 0 or 1.
 PORT_SET = int(os.environ.get('GALENAQUAY_TEST_PORT_SET', '0'))
+# Part of the scenarios that this run of behave plays beside other parts; empty
+# if it plays alone.
+PART = os.environ.get('GALENAQUAY_TEST_PART', '')
 # First port of each scenario tagged `platform`. These ports are below those of
 # the shared fleet. There are more scenarios than such ports; by the time that
 # a port is used again, its first scenario has long ended.
 FLEET_PORT = 25000 + 1000 * PORT_SET
+FIRST_PORT = 7000 + 8900 * PORT_SET
 PLATFORM_PORTS = itertools.cycle(
-    range(7000 + 8900 * PORT_SET, 15800 + 8900 * PORT_SET, 150)
+    {
+        'platform': range(FIRST_PORT, FIRST_PORT + 6600, 150),
+        'vm_faults': range(FIRST_PORT + 6600, FIRST_PORT + 8800, 150),
+    }.get(PART, range(FIRST_PORT, FIRST_PORT + 8800, 150))
 )
 
 
--- a/tests/features/partitioned_vm.feature
+++ b/tests/features/partitioned_vm.feature
@@ -1,4 +1,4 @@
-@platform
+@platform @vm_faults
 Feature: Entry processes that are partitioned from all endpoints
 
   Scenario Outline: Requests are served through another entry process
--- a/tests/features/restored_store.feature
+++ b/tests/features/restored_store.feature
@@ -1,4 +1,4 @@
-@platform
+@platform @vm_faults
 Feature: A store that was restored from an older copy
 
   Scenario: A change after a restore is in force everywhere
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -6,23 +6,27 @@
 pass or fail.
 
 Without arguments, the scenarios that start processes of the platform's entry
-run beside all others, which use other ports. Arguments are passed to behave,
-which then runs alone.
+run in two parts, beside each other and beside all others, with other ports.
+Arguments are passed to behave, which then runs alone.
 """
 
 import dataclasses
 import json
+import os
 import pathlib
 import subprocess
 import sys
 from typing import Any, Final
 
+# Tells behave which part it runs, as parts use different ports.
+PART_VARIABLE: Final = 'GALENAQUAY_TEST_PART'
 ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
 RESULTS_FOLDER: Final = ROOT / '.run'
 # Tag expressions of the scenarios that run beside each other, by the name of
 # their results. Together they select each scenario once.
 PARTS: Final = {
-    'platform': '@platform',
+    'platform': '@platform and not @vm_faults',
+    'vm_faults': '@vm_faults',
     'others': 'not @platform',
 }
 KNOWN_RED_PATH: Final = ROOT / 'KNOWN-RED.txt'
@@ -83,6 +87,7 @@
             str(ROOT / 'tests' / 'features'),
         ],
         cwd=ROOT,
+        env={**os.environ, PART_VARIABLE: name},
     )
 
 
