Have no VM forward by an older configuration

A VM that reaches no engine passes on a request that it has admitted by its own configuration. The other VM admits it by its own. If that is older, as for some 0.1 s after each change and longer beside a slow store, a request on a route that was added got 404 and one with a new key 401, after the first VM had already served such requests: its callers saw an earlier version again (CONFIG).

Cause: the message said nothing of the version.

Change: `RelayedRequest` names the version by which the request was admitted. The other VM waits 0.3 s for it and else declines, as when it reaches no engine, so that the next one is asked. `is_cut_off` of a refusal becomes `is_declined`, as it has a second reason now.

Why it works: a request is handled by the version that admitted it or a newer one, and a decline says that nothing has run.

Result: property `relayed_config`, over real connections; without the check it fails (404 by version 4 for a request admitted by 5).

--- a/packages/galenaquay/galenaquay/adapters/relay_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/relay_grpc.py
@@ -20,6 +20,7 @@
 import grpclib.server
 
 from .. import ids
+from ..configuration import current as current_module
 from ..outcomes import forwarding
 from ..ports import exchange
 from ..ports import relays as relays_port
@@ -28,8 +29,11 @@
 LOG: Final = logging.getLogger(__name__)
 # Timeout for the connection to a VM and its readiness, in seconds.
 READY_TIMEOUT_S: Final = 0.4
+# Time to wait for a configuration that another VM has already, in seconds.
+CONFIG_TIMEOUT_S: Final = 0.3
 # Part of a response that is held for a caller who reads slowly, in bytes.
 WINDOW_BYTES: Final = 256 * 1024
+_NOT_RUN_STATUS: Final = 503
 # Largest time that a message can hold, in milliseconds.
 _MAX_MS: Final = (1 << 32) - 1
 _MS_PER_S: Final = 1000
@@ -77,9 +81,8 @@
     async def forward(
         self,
         address: str,
-        request: exchange.Request,
+        passed: relays_port.PassedRequest,
         time_left_s: float,
-        attempts: int,
         writer: exchange.ResponseWriter,
     ) -> relays_port.Relayed:
         """Has a VM forward a request; see the port."""
@@ -87,7 +90,7 @@
         channel = grpclib.client.Channel(
             host, int(port), config=_CONFIGURATION
         )
-        message = self._message(request, time_left_s, attempts)
+        message = self._message(passed, time_left_s)
         progress = _Progress()
         try:
             async with relay_grpc.RelayStub(channel).Forward.open() as stream:
@@ -115,8 +118,9 @@
             channel.close()
 
     def _message(
-        self, request: exchange.Request, time_left_s: float, attempts: int
+        self, passed: relays_port.PassedRequest, time_left_s: float
     ) -> relay_pb2.RelayedRequest:
+        request = passed.request
         message = relay_pb2.RelayedRequest(
             vm_id=self._vm_id,
             id=raw_heads.encode(request.id),
@@ -131,7 +135,8 @@
             expected_output_tokens=request.expected_output_tokens,
             shared_parts=request.shared_parts,
             last_part=request.last_part,
-            attempts=attempts,
+            attempts=passed.attempts,
+            config_version=passed.config_version,
         )
         if request.key is not None:
             message.key = raw_heads.encode(request.key)
@@ -179,7 +184,7 @@
 async def _refuse(
     refusal: relay_pb2.Refusal, writer: exchange.ResponseWriter
 ) -> relays_port.Relayed:
-    if refusal.is_cut_off:
+    if refusal.is_declined:
         return _not_run(refusal.reason)
     retry_after_s = None
     if refusal.HasField('retry_after_ms'):
@@ -201,11 +206,22 @@
     in_progress: int
 
     def __init__(
-        self, forwarder: forwarding.Forwarder, accepts: Callable[[], bool]
+        self,
+        forwarder: forwarding.Forwarder,
+        current: current_module.RouteTableInForce,
+        accepts: Callable[[], bool],
     ) -> None:
+        """Creates the service.
+
+        Args:
+            forwarder: Serves the requests.
+            current: The configuration by which they are served.
+            accepts: Returns whether requests of other VMs are accepted at the
+                moment.
+        """
         self.in_progress = 0
         self._forwarder = forwarder
-        # Whether requests of other VMs are accepted at the moment.
+        self._current = current
         self._accepts = accepts
 
     async def Forward(  # noqa: N802
@@ -236,6 +252,11 @@
             extra={'request_id': request.id, 'member': message.vm_id},
         )
         writer = _FrameWriter(stream, self._accepts)
+        if not await self._current.wait_for_version(
+            message.config_version, CONFIG_TIMEOUT_S
+        ):
+            await writer.decline('older configuration')
+            return
         await self._forwarder.serve(
             request, writer, is_relayed=True, attempts=message.attempts
         )
@@ -292,12 +313,22 @@
         self, status: int, reason: str, retry_after_s: float | None = None
     ) -> None:
         """Sends an error response of this VM."""
+        # Only a refusal with this status says that nothing has run.
+        if status == _NOT_RUN_STATUS and not self._accepts():
+            await self.decline(reason)
+            return
         self.is_started = True
         refusal = relay_pb2.Refusal(status=status, reason=reason)
         if retry_after_s is not None:
             refusal.retry_after_ms = _to_ms(retry_after_s)
-        # Only a refusal with this status says that nothing has run.
-        refusal.is_cut_off = status == 503 and not self._accepts()
+        await self._send(refusal=refusal)
+
+    async def decline(self, reason: str) -> None:
+        """Tells the other VM that the request has not run."""
+        self.is_started = True
+        refusal = relay_pb2.Refusal(
+            status=_NOT_RUN_STATUS, reason=reason, is_declined=True
+        )
         await self._send(refusal=refusal)
 
 
--- a/packages/galenaquay/galenaquay/configuration/current.py
+++ b/packages/galenaquay/galenaquay/configuration/current.py
@@ -6,7 +6,9 @@
 suspended.
 """
 
+import asyncio
 from collections.abc import Callable
+import contextlib
 import logging
 from typing import Final
 
@@ -41,6 +43,7 @@
         self._clock = clock
         self._confirmed_at_s: float | None = None
         self._was_trusted = False
+        self._changed = asyncio.Event()
 
     def set_revoke_s(self, revoke_s: float) -> None:
         """Sets the time within which a removed key must be refused."""
@@ -61,6 +64,8 @@
             return False
         self.table = table
         self.priority_classes = priorities.make_priority_classes(table)
+        self._changed.set()
+        self._changed = asyncio.Event()
         LOG.info(
             'configuration in force',
             extra={
@@ -73,6 +78,18 @@
         )
         return True
 
+    async def wait_for_version(self, version: int, timeout_s: float) -> bool:
+        """Waits until a version or a newer one is in force.
+
+        Returns:
+            Whether it is in force.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self.table is None or self.table.version < version:
+                    await self._changed.wait()
+        return self.table is not None and self.table.version >= version
+
     def confirm(self, asked_at_s: float) -> None:
         """Records that the table was up to date.
 
--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -173,9 +173,12 @@
         # Holds if the time ends while another VM has the request.
         self._may_have_run = True
         relayed = await self._dependencies.relaying.relay(
-            self._request,
+            relays.PassedRequest(
+                self._request,
+                self._forwarded.attempts,
+                self._admitted.version,
+            ),
             self._admitted.deadline_s,
-            self._forwarded.attempts,
             self._writer,
         )
         if relayed.outcome is relays.Outcome.NOT_RUN:
--- a/packages/galenaquay/galenaquay/outcomes/relaying.py
+++ b/packages/galenaquay/galenaquay/outcomes/relaying.py
@@ -56,18 +56,16 @@
 
     async def relay(
         self,
-        request: exchange.Request,
+        passed: relays_port.PassedRequest,
         deadline_s: float,
-        attempts: int,
         writer: exchange.ResponseWriter,
     ) -> relays_port.Relayed:
         """Asks VMs one after the other until one forwards a request.
 
         Args:
-            request: The request.
+            passed: The request.
             deadline_s: When the caller stops waiting, on the clock of the
                 event loop.
-            attempts: Number of attempts so far that may have run.
             writer: Gets the response.
         """
         ends_at_s = self._loop.time() + MAX_ASKING_S
@@ -77,12 +75,11 @@
                 break
             relayed = await self._relays.forward(
                 member.address,
-                request,
+                passed,
                 deadline_s - self._loop.time(),
-                attempts,
                 writer,
             )
-            self._record(member, request, relayed)
+            self._record(member, passed.request, relayed)
             if relayed.outcome is not relays_port.Outcome.NOT_RUN:
                 return relayed
         return relays_port.Relayed(
--- a/packages/galenaquay/galenaquay/ports/relays.py
+++ b/packages/galenaquay/galenaquay/ports/relays.py
@@ -22,6 +22,17 @@
     BROKEN = 'broken'
 
 
+@dataclasses.dataclass(frozen=True)
+class PassedRequest:
+    """A request that is passed on to another VM."""
+
+    request: exchange.Request
+    # Number of attempts so far that may have run.
+    attempts: int
+    # Version of the configuration by which this VM has admitted the request.
+    config_version: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Relayed:
     """The outcome, and the status of the response if there is one."""
@@ -37,18 +48,16 @@
     async def forward(
         self,
         address: str,
-        request: exchange.Request,
+        passed: PassedRequest,
         time_left_s: float,
-        attempts: int,
         writer: exchange.ResponseWriter,
     ) -> Relayed:
         """Has a VM forward a request, and passes its response on.
 
         Args:
             address: The address of the VM.
-            request: The request.
+            passed: The request.
             time_left_s: Time until the caller stops waiting, in seconds.
-            attempts: Number of attempts so far that may have run.
             writer: Gets the response.
         """
         ...
--- a/tests/properties/relay_properties.py
+++ b/tests/properties/relay_properties.py
@@ -7,6 +7,8 @@
 import socket
 
 from galenaquay.adapters import relay_grpc
+from galenaquay.configuration import current as current_module
+from galenaquay.configuration import freshness
 from galenaquay.engines import contact as contact_module
 from galenaquay.engines import directory as directory_module
 from galenaquay import ids
@@ -19,6 +21,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.properties import document_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
 
@@ -29,6 +32,8 @@
 # read, in bytes.
 MAX_HELD_BYTES = 1024 * 1024
 QUIET_S = 0.5
+# Version of the configuration in force at both VMs.
+VERSION = 5
 # Largest number of VMs that may be asked for one request, and the longest time
 # that asking may take if none can forward it, in seconds.
 MAX_ASKED = 8
@@ -101,6 +106,17 @@
     return dataclasses.replace(request, **changes)
 
 
+def pass_on(request, attempts=0, version=VERSION):
+    return relays.PassedRequest(request, attempts, version)
+
+
+def make_current(version=VERSION):
+    current = current_module.RouteTableInForce(5.0, freshness.Freshness(5.0))
+    if version:
+        current.offer(document_properties.make_table(version))
+    return current
+
+
 async def start_server(relay_server):
     """Starts a server; returns it and its port."""
     listener = socket.socket()
@@ -113,12 +129,15 @@
 async def relay(answer, request=None, writer=None, accepts=lambda: True):
     """Has a server forward a request; returns all that can be seen of it."""
     forwarder = Forwarder(answer)
-    relay_server = relay_grpc.RelayServer(forwarder, accepts)
+    relay_server = relay_grpc.RelayServer(forwarder, make_current(), accepts)
     server, port = await start_server(relay_server)
     writer = writer or Writer()
     try:
         relayed = await relay_grpc.GrpcRelays(ids.VmId('vm-0')).forward(
-            f'127.0.0.1:{port}', request or make_request(), 3.0, 1, writer
+            f'127.0.0.1:{port}',
+            pass_on(request or make_request(), attempts=1),
+            3.0,
+            writer,
         )
     finally:
         server.close()
@@ -213,11 +232,14 @@
     async def check():
         forwarder = Forwarder(endless)
         server, port = await start_server(
-            relay_grpc.RelayServer(forwarder, lambda: True)
+            relay_grpc.RelayServer(forwarder, make_current(), lambda: True)
         )
         pending = asyncio.ensure_future(
             relay_grpc.GrpcRelays(ids.VmId('vm-0')).forward(
-                f'127.0.0.1:{port}', make_request(), 3.0, 0, Writer(False)
+                f'127.0.0.1:{port}',
+                pass_on(make_request()),
+                3.0,
+                Writer(False),
             )
         )
         await asyncio.sleep(QUIET_S)
@@ -232,6 +254,49 @@
     run(check())
 
 
+def check_relayed_config():
+    """A VM with an older configuration does not handle a request by it.
+
+    It waits a short time for the newer one.
+    """
+
+    async def not_found(writer):
+        await writer.refuse(404, 'no route')
+
+    async def ask(current, newer_after_s=None):
+        forwarder = Forwarder(not_found)
+        server, port = await start_server(
+            relay_grpc.RelayServer(forwarder, current, lambda: True)
+        )
+        if newer_after_s is not None:
+            asyncio.get_running_loop().call_later(
+                newer_after_s,
+                current.offer,
+                document_properties.make_table(VERSION),
+            )
+        try:
+            relayed = await relay_grpc.GrpcRelays(ids.VmId('vm-0')).forward(
+                f'127.0.0.1:{port}', pass_on(make_request()), 3.0, Writer()
+            )
+        finally:
+            server.close()
+            await server.wait_closed()
+        return relayed.outcome, len(forwarder.requests)
+
+    refused = (relays.Outcome.REFUSED, 1)
+    declined = (relays.Outcome.NOT_RUN, 0)
+    for version, newer_after_s, expected in (
+        (VERSION, None, refused),
+        (VERSION + 1, None, refused),
+        (VERSION - 1, None, declined),
+        (0, None, declined),
+        (VERSION - 1, 0.1, refused),
+        (0, 0.1, refused),
+    ):
+        seen = run(ask(make_current(version), newer_after_s))
+        assert seen == expected, (version, newer_after_s, seen)
+
+
 def endpoint(number):
     return directory_module.Endpoint(
         ids.EndpointId(f'e{number}'),
@@ -301,7 +366,7 @@
         self._unreachable = unreachable
         self.asked = []
 
-    async def forward(self, address, request, time_left_s, attempts, writer):
+    async def forward(self, address, passed, time_left_s, writer):
         self.asked.append(address)
         if address in self._unreachable:
             await asyncio.sleep(relay_grpc.READY_TIMEOUT_S)
@@ -353,7 +418,7 @@
                 fleet.record_contact(member)
             start_s = loop.time()
             relayed = await chosen.relay(
-                make_request(), loop.time() + 8.0, 0, Writer()
+                pass_on(make_request()), loop.time() + 8.0, Writer()
             )
             outcomes.append((relayed.outcome, loop.time() - start_s))
             await asyncio.sleep(interval_s)
