Ask another VM if one cannot decide on a request

The VM that forwards for one without engines admits the request itself. If it cannot decide ("keys are stale", "stale configuration", "no configuration yet", "this VM shuts down"), as after it lost the store, its 503 went to the caller, though other VMs could have served the request.

Cause: such a refusal counted like one for want of capacity, which asking further VMs would only multiply.

Change: `Forwarder` raises `NotAdmittedError` for a relayed request that it cannot decide on, and the VM declines. 404 and 401 of a configuration that is trusted are final, as before, and so are refusals after the admission.

Why it works: nothing has run before the admission, so the next VM may be asked; the one that declined is left out for a second.

Result: property `relayed_admission`, with the product's own admission over real connections; it fails on the code before (503 passed on).

--- a/packages/galenaquay/galenaquay/adapters/relay_grpc.py
+++ b/packages/galenaquay/galenaquay/adapters/relay_grpc.py
@@ -257,9 +257,13 @@
         ):
             await writer.decline('older configuration')
             return
-        await self._forwarder.serve(
-            request, writer, is_relayed=True, attempts=message.attempts
-        )
+        try:
+            await self._forwarder.serve(
+                request, writer, is_relayed=True, attempts=message.attempts
+            )
+        except forwarding.NotAdmittedError as exc:
+            await writer.decline(str(exc))
+            return
         if writer.is_aborted:
             raise grpclib.exceptions.GRPCError(
                 grpclib.const.Status.ABORTED, 'the response was broken off'
--- a/packages/galenaquay/galenaquay/outcomes/forwarding.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding.py
@@ -11,6 +11,12 @@
 from . import refusals
 
 LOG: Final = logging.getLogger(__name__)
+# Status of refusals that another VM, or this one later, may not repeat.
+NOT_DECIDED_STATUS: Final = 503
+
+
+class NotAdmittedError(Exception):
+    """This VM cannot decide on a request of another VM at the moment."""
 
 
 class Forwarder:
@@ -38,9 +44,14 @@
             is_relayed: Whether another VM has passed the request on. It is
                 not passed on again.
             attempts: Number of attempts of the other VM that may have run.
+
+        Raises:
+            NotAdmittedError: Another VM may admit the relayed request.
         """
         decision = self._decide(request)
         if isinstance(decision, admission.Refusal):
+            if is_relayed and decision.status == NOT_DECIDED_STATUS:
+                raise NotAdmittedError(decision.reason)
             await self._refuse(request, writer, decision)
             return
         self._dependencies.budget.earn(decision.service.name)
@@ -85,6 +96,6 @@
             refusal.status,
             refusal.reason,
             refusals.draw_retry_after_s(self._dependencies.rng)
-            if refusal.status == 503
+            if refusal.status == NOT_DECIDED_STATUS
             else None,
         )
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -91,6 +91,7 @@
       | relayed_request      | A request and a response by way of another VM              |
       | relayed_ends         | Ends of responses by way of another VM                     |
       | relayed_config       | A VM with an older configuration than the one that asks it |
+      | relayed_admission    | A VM that cannot decide on a request of another VM         |
       | relayed_slow_caller  | A caller that does not read a response of another VM       |
       | relay_past_zone      | A zone whose VMs are all cut off from the endpoints        |
       | relay_past_many      | VMs that are cut off from the endpoints in all zones       |
--- a/tests/properties/relay_properties.py
+++ b/tests/properties/relay_properties.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 import socket
+import types
 
 from galenaquay.adapters import relay_grpc
 from galenaquay.configuration import current as current_module
@@ -13,6 +14,7 @@
 from galenaquay.engines import directory as directory_module
 from galenaquay import ids
 from galenaquay.membership import fleet as fleet_module
+from galenaquay.outcomes import forwarding
 from galenaquay.outcomes import relaying
 from galenaquay.ports import exchange
 from galenaquay.ports import relays
@@ -297,6 +299,51 @@
         assert seen == expected, (version, newer_after_s, seen)
 
 
+def check_relayed_admission():
+    """A VM that cannot decide on a request leaves it to another VM.
+
+    What it can decide on, it does.
+    """
+
+    async def ask(version, is_confirmed, accepts_until_s):
+        current = make_current(version)
+        if is_confirmed:
+            current.confirm(current.now_s())
+        dependencies = types.SimpleNamespace(
+            current=current,
+            lifetime=types.SimpleNamespace(accepts_until_s=accepts_until_s),
+            metrics=telemetry.TextMetrics(),
+            rng=random.Random(1),
+        )
+        server, port = await start_server(
+            relay_grpc.RelayServer(
+                forwarding.Forwarder(dependencies), current, lambda: True
+            )
+        )
+        try:
+            relayed = await relay_grpc.GrpcRelays(ids.VmId('vm-0')).forward(
+                f'127.0.0.1:{port}',
+                pass_on(make_request(), version=version),
+                3.0,
+                Writer(),
+            )
+        finally:
+            server.close()
+            await server.wait_closed()
+        return relayed.outcome, relayed.status
+
+    never_s = float('inf')
+    declined = (relays.Outcome.NOT_RUN, 0)
+    for arguments, expected in (
+        ((VERSION, True, never_s), (relays.Outcome.REFUSED, 404)),
+        ((VERSION, False, never_s), declined),
+        ((0, False, never_s), declined),
+        ((VERSION, True, 0.0), declined),
+    ):
+        seen = run(ask(*arguments))
+        assert seen == expected, (arguments, seen)
+
+
 def endpoint(number):
     return directory_module.Endpoint(
         ids.EndpointId(f'e{number}'),
