Ask others twice at most for one request

A request of a VM that reaches no engine asked others before each of its own attempts, and at the end: five rounds of up to eight VMs. When no VM reaches an engine, as if a whole pool has ended, all VMs ask each other so, just when they have the least to spare.

Cause: asking depended on the state of the VM alone, not on what the request had learnt.

Change: a request has others asked once at first, and once more when four attempts of its own found no connection.

Why it works: the second round asks others than the first, which are left out for a second; more rounds could only repeat these.

--- a/packages/galenaquay/galenaquay/outcomes/journeys.py
+++ b/packages/galenaquay/galenaquay/outcomes/journeys.py
@@ -72,6 +72,8 @@
         self._excluded: set[ids.EndpointId] = set()
         self._may_have_run = attempts > 0
         self._is_relayed = is_relayed
+        # Whether other VMs were asked to forward the request, and none did.
+        self._has_asked = False
         self._quarantine_check = quarantine_check.QuarantineCheck(
             dependencies, admitted
         )
@@ -157,10 +159,9 @@
         relaying = self._dependencies.relaying
         if relaying is None or self._is_relayed or self._writer.is_started:
             return False
-        return (
-            relaying.is_needed()
-            or self._unsent_attempts >= MAX_UNSENT_ATTEMPTS
-        )
+        if self._unsent_attempts >= MAX_UNSENT_ATTEMPTS:
+            return True
+        return relaying.is_needed() and not self._has_asked
 
     async def _relay(self) -> bool:
         """Has other VMs forward the request.
@@ -183,6 +184,7 @@
         )
         if relayed.outcome is relays.Outcome.NOT_RUN:
             self._may_have_run = had_run
+            self._has_asked = True
             return False
         if relayed.outcome is relays.Outcome.LOST:
             await self._give_up(f'the other VM: {relayed.reason}', 502)
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -95,6 +95,7 @@
       | relayed_slow_caller  | A caller that does not read a response of another VM       |
       | relay_past_zone      | A zone whose VMs are all cut off from the endpoints        |
       | relay_past_many      | VMs that are cut off from the endpoints in all zones       |
+      | relay_rounds         | A request that no VM forwards                              |
       | relay_to_none        | VMs that all cannot forward requests                       |
       | contact              | Endpoints that cannot be reached one after the other       |
       | restores             | Documents of a store that is restored from snapshots       |
--- a/tests/properties/relay_properties.py
+++ b/tests/properties/relay_properties.py
@@ -26,6 +26,7 @@
 from tests.properties import document_properties
 from tests.properties import memory_properties
 from tests.properties import path_properties
+from tests.properties import simulated_attempts
 
 RUNS = path_properties.RUNS
 LARGE_BYTES = 4 * 1024 * 1024
@@ -40,6 +41,7 @@
 # that asking may take if none can forward it, in seconds.
 MAX_ASKED = 8
 MAX_ASKING_S = 2.0
+MAX_ROUNDS = 2
 
 
 class Writer:
@@ -344,6 +346,39 @@
         assert seen == expected, (arguments, seen)
 
 
+class NoneForwards:
+    """A VM that is cut off, and others of which none forwards a request."""
+
+    def __init__(self):
+        self.rounds = 0
+
+    def is_needed(self):
+        return True
+
+    async def relay(self, passed, deadline_s, writer):
+        self.rounds += 1
+        return relays.Relayed(relays.Outcome.NOT_RUN)
+
+
+def check_relay_rounds():
+    """A request that none forwards has others asked twice at most.
+
+    At the end it is refused as not run.
+    """
+    plan = simulated_attempts.Plan(0.25, failure=exchange.Failure.NOT_SENT)
+    for is_stream in (False, True):
+        others = NoneForwards()
+
+        def prepare(case, others=others):
+            case.dependencies = dataclasses.replace(
+                case.dependencies, relaying=others
+            )
+
+        case = simulated_attempts.play([plan], prepare, is_stream=is_stream)
+        assert case.writer.status == 503
+        assert 1 <= others.rounds <= MAX_ROUNDS, others.rounds
+
+
 def endpoint(number):
     return directory_module.Endpoint(
         ids.EndpointId(f'e{number}'),
