Confirm keys with the check that settles a restore

A removal may be what the store has lost, so keys are not confirmed for 3 s.

Cause: a restore was settled by a task that looked every 0.1 s, after a check had been recorded. That check did not confirm the keys; the next one did, 0.4 s later.

Change: recording a check settles a restore that is due, before the check is passed on. The task and its event are gone.

Why it works: nothing else can make a restore due; the condition, a check that began after the 3 s, is as before. So `lost_revocation` holds as well.

--- a/packages/galenaquay/galenaquay/configuration/mirror.py
+++ b/packages/galenaquay/galenaquay/configuration/mirror.py
@@ -33,8 +33,6 @@
 # longer has are kept, in seconds. What is still valid is written again within
 # about two seconds.
 RESTORE_GRACE_S: Final = 3.0
-# Interval between checks whether that time has passed, in seconds.
-SETTLE_CHECK_INTERVAL_S: Final = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -131,7 +129,6 @@
         # Time from which on a check shows that documents of earlier epochs are
         # lost; None if there has been no restore since the last such check.
         self._settles_at_s: float | None = None
-        self._restored = asyncio.Event()
 
     def now_s(self) -> float:
         """Returns the current time on the clock for the age of checks."""
@@ -241,7 +238,6 @@
     def _await_settling(self) -> None:
         if self._settles_at_s is None:
             self._settles_at_s = self._clock() + RESTORE_GRACE_S
-            self._restored.set()
 
     def _has_earlier_documents(self) -> bool:
         epoch = store_revisions.epoch_of(self.revision)
@@ -250,21 +246,13 @@
             for document in self.documents_by_key.values()
         )
 
-    async def settle_restores(self) -> None:
-        """Settles each restore when its time has passed, until cancelled."""
-        while True:
-            await self._restored.wait()
-            await asyncio.sleep(SETTLE_CHECK_INTERVAL_S)
-            self.settle_if_due()
-
-    def settle_if_due(self) -> None:
+    def _settle_if_due(self) -> None:
         """Drops what the store has lost, if a check shows it late enough."""
         if self._settles_at_s is None or self._checked_at_s is None:
             return
         if self._checked_at_s < self._settles_at_s:
             return
         self._settles_at_s = None
-        self._restored.clear()
         epoch = store_revisions.epoch_of(self.revision)
         lost = [
             document
@@ -337,6 +325,7 @@
         """
         if self._checked_at_s is None or asked_at_s > self._checked_at_s:
             self._checked_at_s = asked_at_s
+        self._settle_if_due()
         self._on_checked(asked_at_s)
 
     def adopt_check(
--- a/tests/features/path_checks.feature
+++ b/tests/features/path_checks.feature
@@ -100,6 +100,7 @@
       | contact              | Endpoints that cannot be reached one after the other       |
       | restores             | Documents of a store that is restored from snapshots       |
       | lost_drain           | An endpoint whose drain a restored store has lost          |
+      | kept_keys            | API keys while a store is restored that has lost nothing   |
       | lost_revocation      | A removed key whose removal a restored store has lost      |
 
   Scenario: Memory of a dead process is released although lease renewals arrive late
--- a/tests/properties/restore_properties.py
+++ b/tests/properties/restore_properties.py
@@ -19,6 +19,8 @@
 )
 REVOKE_S = 5.0
 APPLY_S = 2.0
+# Time between two checks of a VM, in seconds.
+CHECK_S = 0.4
 # Time after a restore within which all that was lost is written again.
 REWRITE_S = 2.9
 VMS = 4
@@ -150,7 +152,6 @@
             events = [e for e in store.events if e.revision > copy.revision]
             copy.apply(events, store.revision)
         copy.record_check(copy.now_s())
-        copy.settle_if_due()
 
     def ask(self, source):
         """Asks another VM, unless that one is of an earlier epoch."""
@@ -167,7 +168,6 @@
         else:
             self.copy.apply(update.changes, update.revision)
         self.copy.record_check(self.copy.now_s() - source.copy.checked_age_s())
-        self.copy.settle_if_due()
 
     def check_table(self):
         """Checks that the version in force and its keys never fall."""
@@ -357,6 +357,24 @@
     assert directory.is_usable(directory.endpoints_by_id['e1'])
 
 
+@RUNS
+@given(st.floats(0.0, 0.4), st.floats(0.0, CHECK_S), st.floats(0.0, CHECK_S))
+def check_kept_keys(away_s, before_s, after_s):
+    """API keys stay in use through a restore that has lost nothing."""
+    play = Play()
+    play.take('read', 0)
+    play.now_s += before_s + away_s
+    play.store.restore(0)
+    play.take('read', 0)
+    ends_at_s = play.now_s + 2 * mirror_module.RESTORE_GRACE_S
+    play.now_s += after_s
+    while play.now_s < ends_at_s:
+        assert play.vms[0].current.trusts_keys(), play.now_s
+        play.take('read', 0)
+        assert play.vms[0].current.trusts_keys(), play.now_s
+        play.now_s += CHECK_S
+
+
 @RUNS
 @given(st.floats(0.0, REWRITE_S), st.floats(0.0, 4.0))
 def check_lost_revocation(rewritten_after_s, away_s):
