Split the properties of VMs that forward requests

Change: which VMs are asked has a file of its own; a variable that was used once is gone. No check has changed.

--- a/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
+++ b/packages/galenaquay/galenaquay/outcomes/forwarding_attempt.py
@@ -243,13 +243,12 @@
         self, helpers: tuple[exchange.Helper, ...]
     ) -> exchange.Response:
         self._check_available()
-        endpoint = self._placement.endpoint
         timeout_s = self._first_byte_timeout_s()
         connect_timeout_s = None
         if timeout_s is not None:
             connect_timeout_s = timeout_s * CONNECT_TIMEOUT_SHARE
         params = exchange.AttemptParams(
-            endpoint,
+            self._placement.endpoint,
             self._admitted.account,
             self._time_left_s(),
             helpers,
--- a/tests/features/steps/path_check_steps.py
+++ b/tests/features/steps/path_check_steps.py
@@ -22,6 +22,7 @@
 from tests.properties import path_properties
 from tests.properties import priority_properties
 from tests.properties import quarantine_properties
+from tests.properties import relay_choice_properties
 from tests.properties import relay_properties
 from tests.properties import restore_properties
 from tests.properties import sharing_properties
@@ -42,6 +43,7 @@
     path_properties,
     priority_properties,
     quarantine_properties,
+    relay_choice_properties,
     relay_properties,
     restore_properties,
     sharing_properties,
