Wait for an answer that is not a fault in a test

The step before waits until the engine has answered, as only answers say that it shuts down. In this example the first answer is a rejection of the stand-in, which says nothing of it. The step counted the faults after they had been used up, so that the rejection alone satisfied it, if the first burst brought the engine no second request.

Change: the faults are counted before the first burst, as the comment had meant. What is asked of the product and each bound are as before.

--- a/tests/features/steps/platform_availability_steps.py
+++ b/tests/features/steps/platform_availability_steps.py
@@ -117,10 +117,11 @@
 def step_until_answered(context, count, target, name):
     engine = endpoint_named(context, name)
     before = len(engine.received)
+    faults = len(engine.faults)
 
     def has_answered():
-        # The first request may have met a fault.
-        return len(engine.received) - before > len(engine.faults)
+        # The first requests meet the faults.
+        return len(engine.received) - before > faults
 
     async def run_step():
         for _ in range(count):
