Balance the parts of the test run

Change: the features on prompts that crash engines and on endpoints that shut down run in the part of the VM faults, now `faults`. Each scenario still runs once.

--- a/tests/features/availability.feature
+++ b/tests/features/availability.feature
@@ -1,4 +1,4 @@
-@platform
+@platform @engine_faults
 Feature: Endpoints that say that they shut down or want no request for a time
 
   Scenario Outline: An endpoint that says that it shuts down gets no new requests
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -36,7 +36,7 @@
 PLATFORM_PORTS = itertools.cycle(
     {
         'platform': range(FIRST_PORT, FIRST_PORT + 6600, 150),
-        'vm_faults': range(FIRST_PORT + 6600, FIRST_PORT + 8800, 150),
+        'faults': range(FIRST_PORT + 6600, FIRST_PORT + 8800, 150),
     }.get(PART, range(FIRST_PORT, FIRST_PORT + 8800, 150))
 )
 
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -1,4 +1,4 @@
-@platform
+@platform @engine_faults
 Feature: Prompts that crash engines
 
   Scenario: A part of prompts that crashes engines is kept from the engines by all VMs
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -25,8 +25,8 @@
 # Tag expressions of the scenarios that run beside each other, by the name of
 # their results. Together they select each scenario once.
 PARTS: Final = {
-    'platform': '@platform and not @vm_faults',
-    'vm_faults': '@vm_faults',
+    'platform': '@platform and not @vm_faults and not @engine_faults',
+    'faults': '@vm_faults or @engine_faults',
     'others': 'not @platform',
 }
 KNOWN_RED_PATH: Final = ROOT / 'KNOWN-RED.txt'
